--- /dev/null
+++ b/lapishaven/__main__.py
@@ -0,0 +1,6 @@
+"""``python -m lapishaven``."""
+
+from lapishaven.cli import app
+
+if __name__ == "__main__":
+    app(prog_name="lapishaven")
--- /dev/null
+++ b/lapishaven/config.py
@@ -0,0 +1,98 @@
+"""The configuration, read from the file that NODE_CONFIG names and checked before anything starts."""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from cometdrum import interface as i
+from cometdrum import wire
+
+Address = tuple[str, int]
+
+
+class ConfigError(ValueError):
+    """One plain line on what is wrong."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: Address
+    interpreter: Address
+    catalog: Address
+    seed: int
+    stop_span: float  # seconds from SIGTERM to SIGKILL
+    descriptors: int
+    memory_mb: int
+    settings: i.Settings
+    gauges: tuple[str, ...]
+
+
+def address(value: Any, name: str) -> Address:
+    host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    if not host or not port.isdigit() or int(port) > 65535:
+        raise ConfigError(f"{name} is not HOST:PORT")
+    return host, int(port)
+
+
+def _positive(data: Mapping[str, Any], name: str) -> float:
+    value = data.get(name)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not value > 0:
+        raise ConfigError(f"{name} is not a number above 0")
+    return float(value)
+
+
+def parse(text: str) -> Config:
+    """A checked configuration from its JSON text."""
+    try:
+        data = json.loads(text)
+    except ValueError:
+        raise ConfigError("the configuration is not JSON") from None
+    if not isinstance(data, dict):
+        raise ConfigError("the configuration is not an object")
+    limits = data.get("limits")
+    if not isinstance(limits, dict):
+        raise ConfigError("limits is not an object")
+    name, seed = data.get("name"), data.get("seed")
+    if not isinstance(name, str) or not name or not name.isprintable() or set(name) & set(" /?#"):
+        raise ConfigError("name is not a plain word")
+    try:
+        number = int(seed, 16) if isinstance(seed, str) else int(_positive(data, "seed"))
+    except ValueError:
+        raise ConfigError("seed is not a hex number") from None
+    try:
+        settings, gauges = wire.settings(json.dumps(data.get("settings")).encode())
+    except wire.WireError as error:
+        raise ConfigError(str(error).replace("BORN profile-data: ", "settings: ")) from None
+    descriptors = int(_positive(limits, "sockets"))
+    if descriptors < 64:
+        raise ConfigError("limits.sockets is under 64")
+    return Config(
+        name=name,
+        listen=address(data.get("listen"), "listen"),
+        interpreter=address(data.get("vm"), "vm"),
+        catalog=address(data.get("directory"), "directory"),
+        seed=number,
+        stop_span=_positive(data, "stop_ms") / 1000,
+        descriptors=descriptors,
+        memory_mb=int(_positive(limits, "memory_mb")),
+        settings=settings,
+        gauges=gauges,
+    )
+
+
+def load(path: str | None = None, environ: Mapping[str, str] = os.environ) -> Config:
+    """The configuration at ``path``, or where NODE_CONFIG says."""
+    where = path or environ.get("NODE_CONFIG")
+    if not where:
+        raise ConfigError("NODE_CONFIG is not set and no file was named")
+    try:
+        text = Path(where).read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise ConfigError(f"cannot read {where}: {getattr(error, 'strerror', None) or error}") from None
+    return parse(text)
--- /dev/null
+++ b/lapishaven/core/__init__.py
@@ -0,0 +1,6 @@
+"""The core: requests, attempts and answers. It knows no wire, no socket and no clock."""
+
+from lapishaven.core.broker import Broker
+from lapishaven.core.model import Answer, Kind, Submission
+
+__all__ = ["Answer", "Broker", "Kind", "Submission"]
--- /dev/null
+++ b/lapishaven/core/broker.py
@@ -0,0 +1,271 @@
+"""Feeds the decision module and carries out what it decides.
+
+Fronts submit requests and backends report how attempts ended; both only queue events. ``turn`` hands all of
+them to the module as one batch and turns its actions into calls on the ports. Time is passed in.
+"""
+
+from __future__ import annotations
+
+import random
+from heapq import heappop, heappush
+
+from cometdrum import interface as i
+from cometdrum.controller import Controller
+from lapishaven.core.keys import Entry, KeyTable
+from lapishaven.core.model import Answer, Backend, Kind, Reply, Request, Signals, State, Submission
+from lapishaven.core.once import OnceGuard
+from lapishaven.counters import Counters
+
+IDS = 1 << 32
+GAUGE_WAIT = 0.25  # s; a poll goes to the module without gauges after this, so its timers never stand still
+KILL_ROOM = 0.1  # s before the kill at which the net answers what is left
+ONCE_LIFE = 120.0  # s; far longer than any try is kept by a caller
+ORPHAN = 60.0  # s past its due time after which an attempt whose end was never told is let go
+
+
+class Broker:
+    """The request table and its rules, round one Controller."""
+
+    def __init__(
+        self, settings: i.Settings, seed: int, backend: Backend, signals: Signals, counters: Counters
+    ) -> None:
+        self.settings, self.backend, self.signals, self.counters = settings, backend, signals, counters
+        self.controller = Controller(settings, seed)
+        self.classes = {spec.name: n for n, spec in enumerate(settings.classes)}
+        self.requests: dict[int, Request] = {}
+        self.by_handle: dict[str, Request] = {}
+        self.keys = KeyTable()
+        self.once = OnceGuard(ONCE_LIFE)
+        self.draining: float | None = None
+        self._kill_at = float("inf")
+        self._last_id = random.Random(seed).randrange(IDS)
+        self._events: list[i.Event] = []
+        self._timers: list[tuple[float, int]] = []  # when, mark
+        self._polls: list[tuple[float, int]] = []  # marks that wait for gauges, and until when
+        self._dues: list[tuple[float, int]] = []
+        self._orphans: list[tuple[float, int]] = []
+        self._started = False
+
+    # ---- From the fronts
+    def submit(self, now: float, sub: Submission, reply: Reply) -> Request | None:
+        """Take a request into the table; ``None`` if it was answered at once."""
+        self.counters.add("requests", "read")
+        if sub.handle in self.by_handle or self.once.claimed(sub.handle):
+            # The backend knows runs by this name, so a second request under it could meet the first one's
+            # result. It may have run, so this is no refusal.
+            self._count(Kind.FAILED)
+            reply(Answer(Kind.FAILED, reason="this try is known already"))
+            return None
+        spec = self.settings.classes[sub.cls]
+        arrived = now - min(max(sub.age, 0.0), spec.deadline)
+        r = Request(self._new_id(), sub, reply, arrived, arrived + spec.deadline)
+        self.requests[r.id] = self.by_handle[sub.handle] = r
+        heappush(self._dues, (min(max(r.due, now), self._kill_at - KILL_ROOM), r.id))
+        if sub.key is not None and spec.effect is not i.Effect.SAFE:
+            known = self.keys.find((sub.cls, sub.key), now)
+            if known is None:
+                self.keys.open((sub.cls, sub.key), r.id)
+            else:
+                r.repeats = known.id
+        self._events.append(i.Arrival(
+            r.id, sub.kb, 0, None, sub.caller, now - arrived, sub.retry, sub.write, sub.cls, sub.rank,
+            sub.subject, None, r.repeats,
+        ))  # fmt: skip
+        return r
+
+    def gone(self, r: Request) -> None:
+        """Nobody waits for this request any more."""
+        if r.reply is None:
+            return
+        r.reply = None
+        self.counters.add("requests", "gone")
+        self._events.append(i.Gone(r.id))
+        if r.state in (State.HELD, State.ATTACHED, State.PAUSED):
+            self._close(r)
+
+    # ---- From the backend
+    def finished(self, handle: str, outcome: i.Outcome, spent: float, result: bytes = b"") -> None:
+        """An attempt ended."""
+        r = self.by_handle.get(handle)
+        if r is None or r.state not in (State.RUNNING, State.PAUSED):
+            self.counters.add("attempts", "unknown end")
+            return
+        self.counters.add("attempts", outcome.name.lower())
+        self._events.append(i.Finished(r.id, spent, outcome))
+        if outcome is i.Outcome.CANCELLED and r.reply is not None:
+            r.state = State.PAUSED  # the module says what becomes of it
+            return
+        if outcome is i.Outcome.OK:
+            self._answer(r, Answer(Kind.SERVED, result))
+        else:
+            self._answer(r, Answer(Kind.FAILED, reason=f"the run ended: {outcome.name.lower()}"))
+        self._close(r, result if outcome is i.Outcome.OK else None)
+
+    def gauges(self, values: dict[str, float]) -> None:
+        """The backend's gauges, for all polls that wait."""
+        told = [values.get(name) for name in ("core_use", "on_cores", "heap_share", "links")]
+        for _, mark in self._polls:
+            self._events.append(i.Poll(mark, *told))
+        self._polls.clear()
+
+    # ---- Drain
+    def drain(self, now: float, kill_at: float) -> None:
+        if self.draining is not None:
+            return
+        self.draining, self._kill_at = now, kill_at
+        self._events.append(i.Drain(kill_at))
+        for r in self.requests.values():
+            heappush(self._dues, (kill_at - KILL_ROOM, r.id))
+
+    @property
+    def open_requests(self) -> int:
+        """How many are owed an answer."""
+        return sum(r.reply is not None for r in self.requests.values())
+
+    # ---- One turn
+    def turn(self, now: float) -> None:
+        """Hand what came in to the module as one batch, carry out its actions, answer what is due."""
+        while self._timers and self._timers[0][0] <= now:
+            if not self._polls:
+                self.backend.gauges()
+            self._polls.append((now + GAUGE_WAIT, heappop(self._timers)[1]))
+        while self._polls and self._polls[0][0] <= now:
+            self.counters.add("module", "polls without gauges")
+            self._events.append(i.Poll(self._polls.pop(0)[1], None, None, None, None))
+        while self._events or not self._started:
+            events, self._events, self._started = self._events, [], True
+            self.counters.add("module", "batches")
+            for action in self.controller.handle(now, events):
+                self._carry_out(now, action)
+        while self._dues and self._dues[0][0] <= now:
+            r = self.requests.get(heappop(self._dues)[1])
+            if r is not None and r.reply is not None:
+                self.counters.add("requests", "net at due")
+                self._events.append(i.Gone(r.id))
+                self._answer(r, Answer(Kind.DUE, reason="its due time came"))
+                if r.state in (State.HELD, State.ATTACHED, State.PAUSED):
+                    self._close(r)
+        while self._orphans and self._orphans[0][0] <= now:
+            r = self.requests.get(heappop(self._orphans)[1])
+            if r is not None:
+                self.finished(r.sub.handle, i.Outcome.MOOT, 0.0)
+
+    def next_at(self) -> float | None:
+        """When ``turn`` has something to do with no further input; 0 for at once."""
+        if self._events or not self._started:
+            return 0.0
+        heads = [heap[0][0] for heap in (self._timers, self._polls, self._dues, self._orphans) if heap]
+        return min(heads, default=None)
+
+    # ---- Actions
+    def _carry_out(self, now: float, action: i.Action) -> None:
+        if isinstance(action, i.Timer):
+            heappush(self._timers, (now + action.span, action.mark))
+        elif isinstance(action, i.Health):
+            self.signals.health(action.good)
+        elif isinstance(action, i.KeepIdle):
+            self.signals.idle(action.span)
+        elif isinstance(action, i.Remark):
+            self.signals.remark(action.text)
+        elif isinstance(action, i.Say | i.Call | i.Skip):
+            # Not part of this platform's protocol: there is no free value and nothing below.
+            self.counters.add("module", f"unused {type(action).__name__.lower()}")
+        elif (r := self.requests.get(action.id)) is not None:
+            self._on_request(now, r, action)
+
+    def _on_request(self, now: float, r: Request, action: i.Action) -> None:
+        if isinstance(action, i.Run):
+            self._start(now, r)
+        elif isinstance(action, i.Refuse | i.Fail):
+            self.counters.add("reasons", action.reason)
+            if isinstance(action, i.Refuse) and not r.ran:
+                self._answer(r, Answer(Kind.REFUSED, b"", action.reason, action.advice, action.last))
+            else:
+                kind = Kind.DUE if action.reason == "due" else Kind.FAILED
+                self._answer(r, Answer(kind, reason=action.reason))
+            if r.state is not State.RUNNING:
+                self._close(r)
+        elif isinstance(action, i.Halt):
+            if r.state is State.RUNNING:
+                self.backend.halt(r.sub.handle)
+        elif isinstance(action, i.Keep):
+            if r.sub.key is not None:
+                self.keys.keep((r.sub.cls, r.sub.key), r.id, now + action.life)
+        elif isinstance(action, i.Forget):
+            if r.sub.key is not None:
+                self.keys.drop((r.sub.cls, r.sub.key), r.id)
+        elif isinstance(action, i.Attach):
+            self._attach(now, r)
+
+    def _start(self, now: float, r: Request) -> None:
+        if r.state is State.PAUSED:
+            r.state = State.RUNNING
+            self.backend.resume(r.sub.handle)
+            return
+        if r.state is not State.HELD:
+            return
+        spec, sub = self.settings.classes[r.sub.cls], r.sub
+        late = self.draining is not None and r.arrived > self.draining + self.settings.drain_grace
+        names = [sub.handle] + ([f"{sub.cls} {sub.key}"] if sub.key is not None else [])
+        if late or spec.effect is not i.Effect.SAFE and not self.once.claim(now, *names):
+            self.counters.add("requests", "start barred")
+            kind = Kind.REFUSED if late else Kind.FAILED
+            self._answer(r, Answer(kind, reason="it came after the leave" if late else "it ran before"))
+            self._events.append(i.Finished(r.id, 0.0, i.Outcome.MOOT))
+            self._close(r)
+            return
+        r.state, r.ran = State.RUNNING, True
+        heappush(self._orphans, (r.due + ORPHAN, r.id))
+        self.counters.add("attempts", "started")
+        self.backend.start(sub.handle, spec.name, sub.body)
+
+    def _attach(self, now: float, r: Request) -> None:
+        assert r.repeats is not None and r.sub.key is not None
+        r.state = State.ATTACHED
+        first, entry = self.requests.get(r.repeats), self.keys.find((r.sub.cls, r.sub.key), now)
+        if first is not None and first.state is not State.OVER:
+            first.followers.append(r.id)
+        else:
+            self._follow(r, entry.result if entry is not None and entry.id == r.repeats else None)
+
+    def _follow(self, r: Request, result: bytes | None) -> None:
+        """Answer a repeat as its forerunner ended."""
+        if r.state is not State.ATTACHED:
+            return
+        outcome = i.Outcome.ERROR if result is None else i.Outcome.OK
+        self._events.append(i.Finished(r.id, 0.0, outcome))
+        if result is None:
+            self._answer(r, Answer(Kind.FAILED, reason="the first try of it gave no result"))
+        else:
+            self._answer(r, Answer(Kind.SERVED, result))
+        self._close(r)
+
+    # ---- The one place where a request is answered, and the one where it leaves the table
+    def _answer(self, r: Request, answer: Answer) -> None:
+        reply, r.reply = r.reply, None
+        if reply is not None:
+            self._count(answer.kind)
+            reply(answer)
+
+    def _count(self, kind: Kind) -> None:
+        self.counters.add("answers", kind.value)
+
+    def _close(self, r: Request, result: bytes | None = None) -> None:
+        if r.state is State.OVER:
+            return
+        r.state = State.OVER
+        del self.requests[r.id], self.by_handle[r.sub.handle]
+        if r.sub.key is not None:
+            self.keys.close((r.sub.cls, r.sub.key), r.id, result)
+        for follower in r.followers:
+            if (f := self.requests.get(follower)) is not None:
+                self._follow(f, result)
+
+    def _new_id(self) -> int:
+        self._last_id = (self._last_id + 1) % IDS
+        while self._last_id in self.requests or self._last_id == 0:
+            self._last_id = (self._last_id + 1) % IDS
+        return self._last_id
+
+
+__all__ = ["Broker", "Entry"]
--- /dev/null
+++ b/lapishaven/core/model.py
@@ -0,0 +1,90 @@
+"""What the core deals in, and the ports through which it reaches the outside."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+
+class Kind(Enum):
+    """How a request was answered."""
+
+    SERVED = "served"
+    REFUSED = "refused"  # this try never ran and never will
+    FAILED = "failed"
+    DUE = "due"  # failed as its due time came
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The one final answer to a request."""
+
+    kind: Kind
+    body: bytes = b""
+    reason: str = ""
+    pushback: float | None = None  # seconds to keep away
+    stop: bool = False  # no other server should be tried
+
+
+@dataclass(frozen=True, slots=True)
+class Submission:
+    """A request as a front read it."""
+
+    handle: str  # the name under which the backend runs it
+    cls: int
+    body: bytes
+    kb: float
+    rank: float = 0.0
+    age: float = 0.0
+    caller: int = 0
+    retry: bool = False
+    write: bool = False
+    subject: int | None = None
+    key: str | None = None  # names the effect, where the front's protocol has such a key
+
+
+class Reply(Protocol):
+    """Where one request's answer goes."""
+
+    def __call__(self, answer: Answer) -> None: ...
+
+
+class Backend(Protocol):
+    """What runs requests."""
+
+    def start(self, handle: str, cls: str, body: bytes) -> None: ...
+    def halt(self, handle: str) -> None: ...
+    def resume(self, handle: str) -> None: ...
+    def gauges(self) -> None: ...
+
+
+class Signals(Protocol):
+    """What the module tells the outside apart from answers."""
+
+    def health(self, good: bool) -> None: ...
+    def idle(self, span: float) -> None: ...
+    def remark(self, text: str) -> None: ...
+
+
+class State(Enum):
+    HELD = "held"
+    ATTACHED = "attached"
+    RUNNING = "running"
+    PAUSED = "paused"
+    OVER = "over"
+
+
+@dataclass(slots=True)
+class Request:
+    """An entry of the request table. ``reply`` is there until the request is answered or gone."""
+
+    id: int
+    sub: Submission
+    reply: Reply | None
+    arrived: float
+    due: float
+    state: State = State.HELD
+    ran: bool = False
+    repeats: int | None = None
+    followers: list[int] = field(default_factory=list)
--- /dev/null
+++ b/lapishaven/fronts/platform.py
@@ -0,0 +1,133 @@
+"""The platform's front: callers' JSON-RPC lines to core requests, and answers back."""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import Callable, Generator
+from typing import Any, Protocol
+
+from lapishaven.core import Answer, Kind, Submission
+from lapishaven.core.broker import Broker
+from lapishaven.core.model import Request
+from lapishaven.counters import Counters
+from lapishaven.ends import End
+from lapishaven.net.conn import Conn
+from lapishaven.net.loop import Loop, Wait
+from lapishaven.proto import TooLarge, jsonrpc
+
+OPEN_LIMIT = 64  # open requests on a connection past which it is not read; callers keep to 32
+
+
+class Host(Protocol):
+    """What a front needs of the server round it."""
+
+    loop: Loop
+    counters: Counters
+    broker: Broker | None
+    draining: bool
+
+    def check(self, deep: bool, told: Callable[[bool], None]) -> None: ...
+    def ended(self, session: Session, end: End) -> None: ...
+
+
+class Session:
+    """One caller's connection."""
+
+    def __init__(self, host: Host, sock: socket.socket) -> None:
+        self.host = host
+        self.conn = Conn(host.loop, sock, self._ended)
+        self.open: dict[int, Request | None] = {}  # by the id on this connection
+        self._calls: dict[str, int] = {}
+        self._room: Wait | None = None
+        if host.draining:
+            self.conn.write(jsonrpc.DRAINING)
+
+    def run(self) -> Generator[Wait, Any, None]:
+        machine = jsonrpc.Server()
+        while True:
+            while len(self.open) >= OPEN_LIMIT:
+                self._room = Wait()
+                yield self._room
+            data = yield from self.conn.read()
+            if isinstance(data, End):
+                return
+            try:
+                for message in machine.feed(data or b""):
+                    self._message(message)
+            except TooLarge as error:
+                self.conn.write(jsonrpc.error(None, jsonrpc.PARSE_ERROR, str(error)))
+                self.conn.finish(End.TOO_LARGE)
+                return
+
+    def _message(self, message: jsonrpc.Message) -> None:
+        if isinstance(message, jsonrpc.Serve):
+            self._serve(message)
+        elif isinstance(message, jsonrpc.Forget):
+            id = self._calls.get(message.call or "", message.id if message.call is None else None)
+            self.host.counters.add("platform", "forget")
+            if id is not None and id in self.open:
+                self._forget(id)
+            else:
+                self.host.counters.add("platform", "forget of nothing open")
+        elif isinstance(message, jsonrpc.IsWell):
+            id = message.id
+            self.host.counters.add("platform", "checks")
+            self.open[id] = None
+            self.host.check(message.deep, lambda up: self._send(id, jsonrpc.well(id, up)))
+        else:
+            self.host.counters.add("platform", f"malformed {message.code}")
+            self.conn.write(jsonrpc.error(message.id, message.code, message.text))
+
+    def _serve(self, m: jsonrpc.Serve) -> None:
+        broker = self.host.broker
+        cls = broker.classes.get(m.method) if broker is not None else 0
+        if cls is None:
+            self.conn.write(jsonrpc.error(m.id, jsonrpc.NO_METHOD, "no such class"))
+            return
+        if broker is None:
+            self.conn.write(jsonrpc.error(m.id, jsonrpc.REFUSED, "not up yet", 1.0))
+            return
+        self.open[m.id] = None
+        self._calls[m.call] = m.id
+        # A clock that is behind the caller's gives a negative age; the core clamps it.
+        age = time.time() - m.recv if m.recv is not None else 0.0
+        sub = Submission(
+            m.call, cls, m.body, m.heap, m.crit, age, m.src, m.rep, write=m.row is None, subject=m.row
+        )
+        request = broker.submit(self.host.loop.now, sub, lambda answer: self._answer(m, answer))
+        if request is not None:
+            self.open[m.id] = request
+
+    def _forget(self, id: int) -> None:
+        request = self.open.pop(id)
+        if request is not None and self.host.broker is not None:
+            self._calls.pop(request.sub.handle, None)
+            self.host.broker.gone(request)
+
+    def _answer(self, m: jsonrpc.Serve, answer: Answer) -> None:
+        self._calls.pop(m.call, None)
+        if answer.kind is Kind.SERVED:
+            line = jsonrpc.result(m.id, answer.body)
+        elif answer.kind is Kind.REFUSED:
+            line = jsonrpc.error(m.id, jsonrpc.REFUSED, answer.reason, answer.pushback, answer.stop)
+        else:
+            line = jsonrpc.error(m.id, jsonrpc.FAILED, answer.reason)
+        self._send(m.id, line)
+
+    def _send(self, id: int, line: bytes) -> None:
+        if id in self.open:
+            del self.open[id]
+            self.conn.write(line)
+            if self._room is not None and len(self.open) < OPEN_LIMIT:
+                self._room.wake()
+
+    def drain(self) -> None:
+        self.conn.write(jsonrpc.DRAINING)
+
+    def _ended(self, end: End) -> None:
+        for id in list(self.open):
+            self._forget(id)
+        if self._room is not None:
+            self._room.wake()
+        self.host.ended(self, end)
--- /dev/null
+++ b/lapishaven/net/listener.py
@@ -0,0 +1,70 @@
+"""A listening socket within a budget of descriptors."""
+
+from __future__ import annotations
+
+import select
+import socket
+from collections.abc import Callable
+
+from lapishaven.net.loop import Loop
+
+ACCEPTS = 64  # connections taken in one wake-up, so that a crowd at the door does not starve the rest
+
+
+class Budget:
+    """How many connections may be open, a reserve for the program's own descriptors left out."""
+
+    def __init__(self, descriptors: int, reserve: int) -> None:
+        self.room = max(1, descriptors - reserve)
+        self.used = 0
+
+
+class Listener:
+    """Accepts while the budget has room; ``make_room`` may close what is idle."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        address: tuple[str, int],
+        budget: Budget,
+        accepted: Callable[[socket.socket], None],
+        make_room: Callable[[], bool],
+    ) -> None:
+        self.loop, self.budget, self._accepted, self._make_room = loop, budget, accepted, make_room
+        self.sock: socket.socket | None = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.setblocking(False)
+        self.sock.bind(address)
+        self.sock.listen(1024)
+        self.address: tuple[str, int] = self.sock.getsockname()
+        self._resume()
+
+    def _resume(self) -> None:
+        if self.sock is not None:
+            self.loop.watch(self.sock.fileno(), select.EPOLLIN, self._ready)
+
+    def _ready(self, mask: int) -> None:
+        for _ in range(ACCEPTS):
+            if self.sock is None:
+                return
+            if self.budget.used >= self.budget.room and not self._make_room():
+                # Left in the queue rather than accepted and dropped: who waits there has lost nothing yet.
+                self.loop.unwatch(self.sock.fileno())
+                self.loop.at(self.loop.now + 0.02, self._resume)
+                return
+            try:
+                sock, _ = self.sock.accept()
+            except BlockingIOError:
+                return
+            except OSError:
+                self.loop.unwatch(self.sock.fileno())
+                self.loop.at(self.loop.now + 0.02, self._resume)
+                return
+            self.budget.used += 1
+            self._accepted(sock)
+
+    def close(self) -> None:
+        if self.sock is not None:
+            self.loop.unwatch(self.sock.fileno())
+            self.sock.close()
+            self.sock = None
