--- a/cometdrum/controller.py
+++ b/cometdrum/controller.py
@@ -18,8 +18,8 @@
 POLL = 0.1  # s; the gauge spans half a second, so five polls see each change; cheap at ten a second
 WINDOW = 10  # samples, so one second: short against every aim, long against the noise of a poll
 LOWER = 0.95  # average busy share from which refusing starts: cores that are not full need no refusal
-UPPER = 1.95  # where all are refused: work waiting for one shortest aim on top of full cores
-FULL = 0.9  # latest busy share that counts as nearly all busy: below it the coin stays in the pocket
+UPPER = 1.7  # where all are refused: waiting work of half a shortest aim or more on top of full cores
+FULL = 0.8  # latest busy share that counts as nearly all busy: below it the coin stays in the pocket
 STEP = 0.25  # the running limit grows by this part of itself a poll
 CUT = 0.8  # and is cut to this part
 CLIMB = 4.0  # run latency over its base that counts as well past it: the base is the least of few runs
@@ -28,7 +28,7 @@
 CROWD = 0.85  # part of the survivable crowd used as a ceiling: reading and late outcomes need the rest
 MEMORY = 0.92  # part of the memory booked at most: what was read in the next batch comes on top
 MARGIN = 1.5 * POLL  # s before the due time at which the answer goes out: the poll may be that late
-EARLY = 0.7  # of its mean time, in which a run may well end: its cost varies, so the mean would drop too much
+EARLY = 1.0  # of its mean time that must be left to a run: those begun with less mostly came too late
 RECENT = 0.1  # weight of the newest run in the latency mean
 TENANT_SPAN = 5.0  # s; span of a tenant's local rate: about thirty requests, so a sixth of noise
 STEADY = 0.028  # weight of the newest chance in what is told: 3.6 s, so callers do not swing in step
@@ -36,6 +36,7 @@
 LAST = 0.25  # told chance from which a refusal says that trying elsewhere will not help, at most; and
 LAST_PEERS = 4.0  # peers likely to refuse as well that suffice: retries walk a part of the list, each read
 TABLE = 2.0  # connections, over the runs that are survived, from which idle ones are closed
+ADVICE = POLL  # s to keep away after a refusal, to twice that at full chance: longer, callers swing in step
 PATIENCE = 0.5  # part of a class's aim that a call, or the wait for its turn, may take
 
 HELD, ATTACHED, RUNNING, STANDING, CALLING = range(5)
@@ -69,14 +70,13 @@
         self.s, self.rng = settings, random.Random(seed)
         self.out: list[i.Action] = []
         self.now = self.born = self.kill_at = 0.0
-        self.started = False
         self.requests: dict[int, _Request] = {}
         self.held: dict[int, _Request] = {}
         self.count = [0] * 5
         self.dues: list[tuple[float, int]] = []
         self.samples: deque[float] = deque(maxlen=WINDOW)
         self.busy = self.chance = self.said = self.unread = self.steady = self.calls_mean = self.memory = 0.0
-        self.good, self.limit = True, float(settings.cores)
+        self.good, self.started, self.limit = True, False, float(settings.cores)
         self.latency = [0.0] * (len(settings.classes) + 1)  # of each class's runs and, last, of calls below
         self.base = list(self.latency)
         self.fair = 0.9 * settings.fair_calls if settings.fair_calls is not None else float("inf")
@@ -232,12 +232,14 @@
         if self.memory > MEMORY * self.s.memory_kb:
             self._refuse(r, "memory")
         elif pressed and r.place < min(self.chance, self._between(self._load())) ** r.value:
-            self._refuse(r, "load", last=self.steady > min(LAST, LAST_PEERS / max(1, self.s.peers)))
+            self._refuse(r, "load", self.steady > min(LAST, LAST_PEERS / max(1, self.s.peers)))
         elif r.guarded:
             self._keep(r)
 
-    def _refuse(self, r: _Request, reason: str, advice: float | None = None, last: bool = False) -> None:
-        """Turn away what never ran; anything else fails."""
+    def _refuse(self, r: _Request, reason: str, last: bool = False) -> None:
+        """Turn away what never ran, with advice when to come back; anything else fails."""
+        leaving, most = self.drain_from is not None, self.s.advice_max
+        advice = most if leaving or most is None else min(most, ADVICE * (1.0 + self.chance))
         if r.ran or r.state != HELD:
             self.out.append(i.Fail(r.id, reason))
         else:
@@ -262,11 +264,9 @@
         return end > min(r.due - MARGIN, r.aim_at if r.spec.late_worth <= 0 else r.due)
 
     def _dispatch(self) -> None:
-        if not self.held:
-            return
         for r in list(self.held.values()):
             if self.drain_from is not None and self._too_late(r):
-                self._refuse(r, "drain", self.s.advice_max)
+                self._refuse(r, "drain")
             elif self._hopeless(r):
                 self._refuse(r, "hopeless")
         at_call = self.count[STANDING] + self.count[CALLING]
