--- a/lapishaven/backends/interpreter.py
+++ b/lapishaven/backends/interpreter.py
@@ -4,9 +4,10 @@
 
 from collections import deque
 from collections.abc import Callable, Generator
-from typing import Any, Protocol
+from typing import Any
 
 from cometdrum.interface import Outcome
+from lapishaven.backends import Listener
 from lapishaven.counters import Counters
 from lapishaven.ends import End
 from lapishaven.net.conn import Conn, connect
@@ -20,14 +21,6 @@
 OUTCOMES = {"OK": Outcome.OK, "ERROR": Outcome.ERROR, "STOPPED": Outcome.CANCELLED, "MOOT": Outcome.MOOT}
 
 
-class Listener(Protocol):
-    """Who is told what the interpreter says."""
-
-    def up(self, cold: bool, up_for: float) -> None: ...
-    def finished(self, handle: str, outcome: Outcome, spent: float, result: bytes) -> None: ...
-    def gauges(self, values: dict[str, float]) -> None: ...
-
-
 class Unsent:
     """Commands that the kernel has not wholly taken, so that they provably never arrived.
 
--- a/lapishaven/cli.py
+++ b/lapishaven/cli.py
@@ -15,35 +15,41 @@
 )
 File = Annotated[str | None, typer.Option("--config", help="Configuration file; else NODE_CONFIG names it.")]
 
+Loaded = tuple[config.Config, config.UwsgiFront | None, config.UwsgiBackend | None]
+Uwsgi = Annotated[
+    str | None, typer.Option("--uwsgi", help="File that turns uwsgi on; else it is off.")
+]
 
-def _load(path: str | None) -> config.Config:
+
+def _load(path: str | None, uwsgi: str | None) -> Loaded:
     try:
-        return config.load(path)
+        return config.load(path), *(config.uwsgi(uwsgi) if uwsgi else (None, None))
     except config.ConfigError as error:
         print(f"lapishaven: {error}", file=sys.stderr)
         raise typer.Exit(2) from None
 
 
 @app.command()
-def serve(path: File = None) -> None:
+def serve(path: File = None, uwsgi: Uwsgi = None) -> None:
     """Serve until SIGTERM; SIGUSR1 prints the counters."""
     from lapishaven.server import Server
 
-    loaded = _load(path)
+    loaded, front, backend = _load(path, uwsgi)
     try:
-        server = Server(loaded)
+        server = Server(loaded, front, backend)
     except OSError as error:
-        print(f"lapishaven: cannot listen on {loaded.listen}: {error.strerror}", file=sys.stderr)
+        print(f"lapishaven: cannot listen: {error.strerror}", file=sys.stderr)
         raise typer.Exit(2) from None
     raise typer.Exit(server.run())
 
 
 @app.command("check-config")
-def check_config(path: File = None) -> None:
+def check_config(path: File = None, uwsgi: Uwsgi = None) -> None:
     """Check the configuration and say what it holds."""
-    loaded = _load(path)
+    loaded, front, backend = _load(path, uwsgi)
     classes = ", ".join(f"{c.name} ({c.effect.value}, {c.deadline:g} s)" for c in loaded.settings.classes)
     print(f"{loaded.name}: listens on {loaded.listen[0]}:{loaded.listen[1]}; classes {classes}")
+    print(f"uwsgi front {front.listen if front else 'off'}, backend {backend.address if backend else 'off'}")
 
 
 @app.command()
--- a/lapishaven/config.py
+++ b/lapishaven/config.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -33,6 +34,19 @@
     gauges: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class UwsgiFront:
+    listen: Address
+    path: str
+    held_kb: float
+
+
+@dataclass(frozen=True, slots=True)
+class UwsgiBackend:
+    address: Address
+    path: str
+
+
 def address(value: Any, name: str) -> Address:
     host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
     if not host or not port.isdigit() or int(port) > 65535:
@@ -96,3 +110,27 @@
     except (OSError, UnicodeDecodeError) as error:
         raise ConfigError(f"cannot read {where}: {getattr(error, 'strerror', None) or error}") from None
     return parse(text)
+
+
+def uwsgi(path: str) -> tuple[UwsgiFront | None, UwsgiBackend | None]:
+    """The uwsgi front and backend that a project file names; a missing table leaves that side off."""
+    try:
+        data = tomllib.loads(Path(path).read_text())
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"cannot read {path}: {getattr(error, 'strerror', None) or error}") from None
+    if odd := set(data) - {"front", "backend"}:
+        raise ConfigError(f"{path}: unknown table {sorted(odd)[0]}")
+    front, backend = data.get("front"), data.get("backend")
+    for name, table, keys in (
+        ("front", front, {"listen", "path", "held_kb"}), ("backend", backend, {"address", "path"}),
+    ):  # fmt: skip
+        if table is not None and (not isinstance(table, dict) or set(table) != keys):
+            raise ConfigError(f"{path}: {name} needs exactly {', '.join(sorted(keys))}")
+        if table is not None and not str(table["path"]).startswith("/"):
+            raise ConfigError(f"{path}: {name}.path does not start with /")
+    return (
+        UwsgiFront(address(front["listen"], "front.listen"), front["path"], _positive(front, "held_kb"))
+        if front is not None else None,
+        UwsgiBackend(address(backend["address"], "backend.address"), backend["path"])
+        if backend is not None else None,
+    )  # fmt: skip
--- a/lapishaven/core/broker.py
+++ b/lapishaven/core/broker.py
@@ -11,7 +11,7 @@
 
 from cometdrum import interface as i
 from cometdrum.controller import Controller
-from lapishaven.core.keys import Entry, KeyTable
+from lapishaven.core.keys import KeyTable
 from lapishaven.core.model import Answer, Backend, Kind, Reply, Request, Signals, State, Submission
 from lapishaven.core.once import OnceGuard
 from lapishaven.counters import Counters
@@ -19,7 +19,9 @@
 IDS = 1 << 32
 GAUGE_WAIT = 0.25  # s; a poll goes to the module without gauges after this, so its timers never stand still
 KILL_ROOM = 0.1  # s before the kill at which the net answers what is left
-ONCE_LIFE = 120.0  # s; far longer than any try is kept by a caller
+ONCE_LIFE = 900.0  # s; far longer than any caller keeps a try
+NEVER_RAN = (i.Outcome.FULL, i.Outcome.UNREACHED)  # outcomes that prove it
+BACKEND_WAIT = 1.0  # s to keep away after the backend could not be reached or turned an attempt away
 ORPHAN = 60.0  # s past its due time after which an attempt whose end was never told is let go
 
 
@@ -31,7 +33,6 @@
     ) -> None:
         self.settings, self.backend, self.signals, self.counters = settings, backend, signals, counters
         self.controller = Controller(settings, seed)
-        self.classes = {spec.name: n for n, spec in enumerate(settings.classes)}
         self.requests: dict[int, Request] = {}
         self.by_handle: dict[str, Request] = {}
         self.keys = KeyTable()
@@ -97,6 +98,9 @@
             return
         if outcome is i.Outcome.OK:
             self._answer(r, Answer(Kind.SERVED, result))
+        elif outcome in NEVER_RAN:
+            self.once.release(*self._names(r))
+            self._answer(r, Answer(Kind.REFUSED, reason="the backend did not take it", pushback=BACKEND_WAIT))
         else:
             self._answer(r, Answer(Kind.FAILED, reason=f"the run ended: {outcome.name.lower()}"))
         self._close(r, result if outcome is i.Outcome.OK else None)
@@ -206,8 +210,7 @@
             return
         spec, sub = self.settings.classes[r.sub.cls], r.sub
         late = self.draining is not None and r.arrived > self.draining + self.settings.drain_grace
-        names = [sub.handle] + ([f"{sub.cls} {sub.key}"] if sub.key is not None else [])
-        if late or spec.effect is not i.Effect.SAFE and not self.once.claim(now, *names):
+        if late or spec.effect is not i.Effect.SAFE and not self.once.claim(now, *self._names(r)):
             self.counters.add("requests", "start barred")
             kind = Kind.REFUSED if late else Kind.FAILED
             self._answer(r, Answer(kind, reason="it came after the leave" if late else "it ran before"))
@@ -219,6 +222,12 @@
         self.counters.add("attempts", "started")
         self.backend.start(sub.handle, spec.name, sub.body)
 
+    @staticmethod
+    def _names(r: Request) -> tuple[str | tuple[int, str], ...]:
+        """What a request's run is claimed under: its try, and its effect where that has a key."""
+        sub = r.sub
+        return (sub.handle,) if sub.key is None else (sub.handle, (sub.cls, sub.key))
+
     def _attach(self, now: float, r: Request) -> None:
         assert r.repeats is not None and r.sub.key is not None
         r.state = State.ATTACHED
@@ -267,5 +276,3 @@
             self._last_id = (self._last_id + 1) % IDS
         return self._last_id
 
-
-__all__ = ["Broker", "Entry"]
--- a/lapishaven/core/once.py
+++ b/lapishaven/core/once.py
@@ -23,6 +23,11 @@
             self._claimed[name] = now + self.life
         return True
 
+    def release(self, *names: Hashable) -> None:
+        """For what provably never ran."""
+        for name in names:
+            self._claimed.pop(name, None)
+
     def claimed(self, name: Hashable) -> bool:
         return name in self._claimed
 
--- a/lapishaven/ends.py
+++ b/lapishaven/ends.py
@@ -20,6 +20,7 @@
     UNREACHED = "unreached"
     DRAINED = "drained"
     FINISHED = "finished"
+    ABANDONED = "abandoned"
     SHUTDOWN = "shutdown"
 
 
@@ -36,6 +37,7 @@
     End.UNREACHED: Outcome.UNREACHED,
     End.DRAINED: Outcome.CANCELLED,
     End.FINISHED: Outcome.OK,
+    End.ABANDONED: Outcome.CANCELLED,
     End.SHUTDOWN: Outcome.CANCELLED,
 }
 
--- a/lapishaven/fronts/platform.py
+++ b/lapishaven/fronts/platform.py
@@ -4,33 +4,20 @@
 
 import socket
 import time
-from collections.abc import Callable, Generator
-from typing import Any, Protocol
+from collections.abc import Generator
+from typing import Any
 
 from lapishaven.core import Answer, Kind, Submission
-from lapishaven.core.broker import Broker
 from lapishaven.core.model import Request
-from lapishaven.counters import Counters
 from lapishaven.ends import End
+from lapishaven.fronts import Host
 from lapishaven.net.conn import Conn
-from lapishaven.net.loop import Loop, Wait
+from lapishaven.net.loop import Wait
 from lapishaven.proto import TooLarge, jsonrpc
 
 OPEN_LIMIT = 64  # open requests on a connection past which it is not read; callers keep to 32
 
 
-class Host(Protocol):
-    """What a front needs of the server round it."""
-
-    loop: Loop
-    counters: Counters
-    broker: Broker | None
-    draining: bool
-
-    def check(self, deep: bool, told: Callable[[bool], None]) -> None: ...
-    def ended(self, session: Session, end: End) -> None: ...
-
-
 class Session:
     """One caller's connection."""
 
@@ -43,6 +30,10 @@
         if host.draining:
             self.conn.write(jsonrpc.DRAINING)
 
+    @property
+    def busy(self) -> bool:
+        return bool(self.open)
+
     def run(self) -> Generator[Wait, Any, None]:
         machine = jsonrpc.Server()
         while True:
@@ -81,7 +72,7 @@
 
     def _serve(self, m: jsonrpc.Serve) -> None:
         broker = self.host.broker
-        cls = broker.classes.get(m.method) if broker is not None else 0
+        cls = self.host.classes.get(m.method)
         if cls is None:
             self.conn.write(jsonrpc.error(m.id, jsonrpc.NO_METHOD, "no such class"))
             return
--- /dev/null
+++ b/lapishaven/fronts/uwsgi.py
@@ -0,0 +1,148 @@
+"""The uwsgi front: packets to core requests, and answers back as HTTP responses.
+
+The class is the last part of the path. The variables that are read, besides CONTENT_LENGTH and PATH_INFO:
+HTTP_X_REQUEST_ID names the effect, the same for every try of it; HTTP_X_RETRY is 1 on a further try;
+HTTP_X_REQUEST_START is when the request came to the gateway (``t=`` Unix seconds); HTTP_X_CALLER is the
+caller's number. README.md has the table of statuses; ``STATUS`` and ``ERRORS`` are its one definition.
+"""
+
+from __future__ import annotations
+
+import math
+import socket
+import time
+import zlib
+from collections.abc import Generator
+from http import HTTPStatus
+from random import Random
+from typing import Any
+
+from lapishaven.config import UwsgiFront
+from lapishaven.core import Answer, Kind, Submission
+from lapishaven.core.model import Request
+from lapishaven.ends import End
+from lapishaven.fronts import Host
+from lapishaven.net.conn import Conn
+from lapishaven.net.loop import Wait
+from lapishaven.proto import ProtocolError, TooLarge
+from lapishaven.proto import uwsgi as proto
+
+READ_WAIT = 5.0  # s for a whole request to come; longer than any gateway on one machine takes
+AFTER = 64 * 1024  # bytes after the request that are thrown away before it is called a broken client
+ID_LIMIT = 128
+
+STATUS: dict[Kind, HTTPStatus] = {
+    Kind.SERVED: HTTPStatus.OK,
+    Kind.REFUSED: HTTPStatus.SERVICE_UNAVAILABLE,  # never ran; the only one that invites a retry
+    Kind.FAILED: HTTPStatus.BAD_GATEWAY,
+    Kind.DUE: HTTPStatus.GATEWAY_TIMEOUT,
+}
+ERRORS: dict[type[Exception], HTTPStatus] = {
+    ProtocolError: HTTPStatus.BAD_REQUEST,
+    TooLarge: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    LookupError: HTTPStatus.NOT_FOUND,
+}
+
+
+def submission(
+    request: proto.Request, classes: dict[str, int], front: UwsgiFront, handle: str, now: float
+) -> Submission:
+    """A core request from a packet; raises what ``ERRORS`` maps to a status."""
+    get = request.vars.get
+    path = get("PATH_INFO") or get("REQUEST_URI", "").partition("?")[0]
+    name = path.removeprefix(front.path)
+    if not path.startswith(front.path) or name not in classes:
+        raise LookupError(f"no class at {path[:80]!r}")
+    id, caller, started = get("HTTP_X_REQUEST_ID", ""), get("HTTP_X_CALLER", ""), 0.0
+    if len(id) > ID_LIMIT or not id.isprintable():
+        raise ProtocolError("HTTP_X_REQUEST_ID is too long or not printable")
+    if caller and not (caller.isascii() and caller.isdigit() and int(caller[:10]) < 65536):
+        raise ProtocolError("HTTP_X_CALLER is not a number below 65536")
+    if mark := get("HTTP_X_REQUEST_START", ""):
+        try:
+            started = float(mark.removeprefix("t="))
+        except ValueError:
+            started = math.nan
+        if not math.isfinite(started):
+            raise ProtocolError("HTTP_X_REQUEST_START is not a time")
+    who = int(caller[:10]) if caller else zlib.crc32(get("REMOTE_ADDR", "").encode()) % 65536
+    return Submission(
+        handle, classes[name], request.body, front.held_kb, age=now - started if started else 0.0,
+        caller=who, retry=get("HTTP_X_RETRY") == "1", write=True, key=id or None,
+    )  # fmt: skip
+
+
+class Session:
+    """One client's connection, which carries one request."""
+
+    def __init__(self, host: Host, sock: socket.socket, front: UwsgiFront, random: Random) -> None:
+        self.host, self.front, self._random = host, front, random
+        self.conn = Conn(host.loop, sock, self._ended)
+        self._request: Request | None = None
+        self._open = False
+
+    @property
+    def busy(self) -> bool:
+        return self._open
+
+    def run(self) -> Generator[Wait, Any, None]:
+        machine, until, after = proto.Server(), self.host.loop.now + READ_WAIT, 0
+        while True:
+            span = None if machine.done else max(0.0, until - self.host.loop.now)
+            data = yield from self.conn.read(span)
+            if isinstance(data, End):
+                return
+            if data is None:
+                return self.conn.close(End.TIMED_OUT)
+            if machine.done:
+                after += len(data)
+                if after > AFTER:
+                    return self.conn.close(End.PROTOCOL_ERROR)
+                continue
+            try:
+                request = machine.feed(data)
+                if request is not None:
+                    self._submit(request)
+            except (ProtocolError, LookupError) as error:
+                machine.done = True
+                self._error(ERRORS[type(error)], str(error))
+
+    def _submit(self, request: proto.Request) -> None:
+        broker, loop = self.host.broker, self.host.loop
+        handle = f"{self._random.getrandbits(64):016x}"
+        sub = submission(request, self.host.classes, self.front, handle, time.time())
+        self.host.counters.add("uwsgi", "requests")
+        if broker is None:
+            return self._answer(Answer(Kind.REFUSED, reason="not up yet", pushback=1.0))
+        self._open = True
+        self._request = broker.submit(loop.now, sub, self._answer)
+
+    def _answer(self, answer: Answer) -> None:
+        self._open = False
+        status = STATUS[answer.kind]
+        self.host.counters.add("uwsgi", f"status {status.value}")
+        if answer.kind is Kind.SERVED:
+            self.conn.write(proto.response(status, answer.body, "application/octet-stream"))
+        else:
+            headers: tuple[tuple[str, str], ...] = ()
+            if answer.kind is Kind.REFUSED:
+                # Retry-After has whole seconds only; the second header has what the module said.
+                wait = answer.pushback or 1.0
+                headers = (("Retry-After", str(math.ceil(wait))), ("X-Pushback-Ms", str(round(wait * 1000))))
+                headers += (("X-Stop", "1"),) if answer.stop else ()
+            self.conn.write(proto.response(status, answer.reason.encode(), "text/plain", headers))
+        self.conn.finish(End.FINISHED)
+
+    def _error(self, status: HTTPStatus, text: str) -> None:
+        self.host.counters.add("uwsgi", f"status {status.value}")
+        self.conn.write(proto.response(status, text.encode(), "text/plain"))
+        self.conn.finish(End.FINISHED)
+
+    def drain(self) -> None:
+        """Nothing to tell: a uwsgi connection carries one request and is closed after its answer."""
+
+    def _ended(self, end: End) -> None:
+        if self._request is not None and self.host.broker is not None:
+            self.host.broker.gone(self._request)
+        self._open = False
+        self.host.ended(self, end)
--- a/lapishaven/net/conn.py
+++ b/lapishaven/net/conn.py
@@ -15,6 +15,7 @@
 IN_LIMIT = 64 * 1024
 OUT_LIMIT = 512 * 1024
 OUT_HIGH = 128 * 1024  # unsent bytes past which nothing more is read
+LINGER = 1.0  # s for the peer to read the last answer and close, before it is closed all the same
 BROKEN = select.EPOLLERR | select.EPOLLHUP
 
 
@@ -30,6 +31,7 @@
         self._reader: Wait | None = None
         self._mask = 0
         self._closing: End | None = None
+        self._shut = False
         sock.setblocking(False)
         if sock.family != socket.AF_UNIX:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -48,7 +50,9 @@
         if mask & select.EPOLLOUT:
             self.flush()
         if self.end is None and mask & (select.EPOLLIN | BROKEN):
-            if self._reader is None and not mask & BROKEN:
+            if self._closing is not None:
+                self.ins.take()
+            elif self._reader is None and not mask & BROKEN:
                 return self._interest()
             if not self.ins.room:
                 return self.close(End.RESET)
@@ -59,7 +63,7 @@
             except OSError:
                 return self.close(End.RESET)
             if not got:
-                return self.close(End.PEER_CLOSED)
+                return self.close(self._closing or End.PEER_CLOSED)
             self.active = self.loop.now
             if self._reader is not None:
                 self._reader.wake()
@@ -67,7 +71,8 @@
     def _interest(self) -> None:
         if self.end is not None:
             return
-        wants = select.EPOLLIN if self._reader is not None and self.out.size < OUT_HIGH else 0
+        reads = self._reader is not None and self.out.size < OUT_HIGH
+        wants = select.EPOLLIN if reads or self._closing is not None else 0
         wants |= select.EPOLLOUT if self.out.size else 0
         if wants != self._mask or not self._mask:
             self._mask = wants
@@ -93,15 +98,21 @@
             pass
         except OSError:
             return self.close(End.RESET)
-        if not self.out.size and self._closing is not None:
-            return self.close(self._closing)
+        if not self.out.size and self._closing is not None and not self._shut:
+            self._shut = True
+            self.sock.shutdown(socket.SHUT_WR)
         self._interest()
 
     # ---- Ending
     def finish(self, end: End) -> None:
-        """Close once all that was written is sent."""
+        """End once all that was written is sent and the peer has closed.
+
+        Input is thrown away meanwhile: closing with some unread would reset the connection, and the reset
+        can overtake the answer.
+        """
         self._closing = end
         self.loop.after(self.flush)
+        self.loop.at(self.loop.now + LINGER, lambda: self.close(end))
 
     def close(self, end: End) -> None:
         """The first end counts; the reader is told, then the owner."""
--- /dev/null
+++ b/lapishaven/proto/uwsgi.py
@@ -0,0 +1,143 @@
+"""The uwsgi protocol: a binary packet of variables and a body in, an HTTP response out; both sides of it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from http import HTTPStatus
+from struct import Struct
+
+import h11
+
+from lapishaven.proto import ProtocolError, TooLarge
+
+HEAD = Struct("<BHB")  # modifier1, size of the variables, modifier2
+LENGTH = Struct("<H")
+VARS_LIMIT = 16 * 1024
+BODY_LIMIT = 2048  # as on the platform's wire
+RESPONSE_LIMIT = 64 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """One whole request: its variables and its body."""
+
+    vars: dict[str, str]
+    body: bytes
+
+
+def _variables(block: bytes) -> dict[str, str]:
+    found: dict[str, str] = {}
+    at, words = 0, list[str]()
+    while at < len(block):
+        if at + 2 > len(block):
+            raise ProtocolError("a variable's length is cut short")
+        (size,) = LENGTH.unpack_from(block, at)
+        at += 2 + size
+        if at > len(block):
+            raise ProtocolError("a variable reaches past its packet")
+        words.append(block[at - size : at].decode("latin-1"))
+    if len(words) % 2:
+        raise ProtocolError("a variable has no value")
+    for name, value in zip(words[::2], words[1::2], strict=True):
+        found[name] = value
+    return found
+
+
+class Server:
+    """One connection's input: a single request, whose sizes are checked as soon as they are read."""
+
+    def __init__(self) -> None:
+        self._data = bytearray()
+        self._vars: dict[str, str] | None = None
+        self._length = 0
+        self.done = False
+
+    def feed(self, data: bytes) -> Request | None:
+        """The request once it is whole; what comes after it is not looked at."""
+        if self.done:
+            return None
+        self._data += data
+        if self._vars is None and not self._read_vars():
+            return None
+        if len(self._data) < self._length:
+            return None
+        self.done = True
+        assert self._vars is not None
+        return Request(self._vars, bytes(self._data[: self._length]))
+
+    def _read_vars(self) -> bool:
+        if len(self._data) < HEAD.size:
+            return False
+        modifier1, size, modifier2 = HEAD.unpack_from(self._data)
+        if modifier1 or modifier2:
+            raise ProtocolError(f"modifiers {modifier1} and {modifier2} are not served here")
+        if size > VARS_LIMIT:
+            raise TooLarge(f"the variables are longer than {VARS_LIMIT} bytes")
+        if len(self._data) < HEAD.size + size:
+            return False
+        self._vars = _variables(bytes(self._data[HEAD.size : HEAD.size + size]))
+        del self._data[: HEAD.size + size]
+        length = self._vars.get("CONTENT_LENGTH", "") or "0"
+        if not (length.isascii() and length.isdigit()):
+            raise ProtocolError("CONTENT_LENGTH is not a number")
+        # By its digits first: a number of thousands of digits would not even convert.
+        if len(length) > 9 or int(length) > BODY_LIMIT:
+            raise TooLarge(f"a body is longer than {BODY_LIMIT} bytes")
+        self._length = int(length)
+        return True
+
+
+def response(status: HTTPStatus, body: bytes, kind: str, headers: tuple[tuple[str, str], ...] = ()) -> bytes:
+    """A whole HTTP response; the connection is closed after it."""
+    lines = [f"HTTP/1.1 {status.value} {status.phrase}", f"Content-Type: {kind}"]
+    lines += [f"Content-Length: {len(body)}", "Connection: close"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
+
+
+def packet(variables: dict[str, str], body: bytes = b"") -> bytes:
+    """A request as a client sends it."""
+    block = bytearray()
+    for name, value in {**variables, "CONTENT_LENGTH": str(len(body))}.items():
+        for word in (name.encode("latin-1"), value.encode("latin-1")):
+            block += LENGTH.pack(len(word)) + word
+    return HEAD.pack(0, len(block), 0) + bytes(block) + body
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class Client:
+    """Reads the HTTP response to one request; h11 does the HTTP."""
+
+    def __init__(self) -> None:
+        self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=16 * 1024)
+        # h11 wants to have sent a request; its bytes are not used, as the request goes out as a packet.
+        self._http.send(h11.Request(method="GET", target="/", headers=[("Host", "uwsgi")]))
+        self._http.send(h11.EndOfMessage())
+        self._head: h11.Response | None = None
+        self._body = bytearray()
+
+    def feed(self, data: bytes) -> Response | None:
+        """The response once it is whole; empty data stands for the connection's end."""
+        try:
+            self._http.receive_data(data)
+            while (event := self._http.next_event()) is not h11.NEED_DATA:
+                if isinstance(event, h11.Response):
+                    self._head = event
+                elif isinstance(event, h11.Data):
+                    self._body += event.data
+                    if len(self._body) > RESPONSE_LIMIT:
+                        raise TooLarge(f"a response is longer than {RESPONSE_LIMIT} bytes")
+                elif isinstance(event, h11.EndOfMessage) and self._head is not None:
+                    headers = {name.decode(): value.decode("latin-1") for name, value in self._head.headers}
+                    return Response(self._head.status_code, headers, bytes(self._body))
+                elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
+                    raise ProtocolError("the response ended early")
+        except h11.RemoteProtocolError as error:
+            raise ProtocolError(str(error)) from None
+        return None
--- a/lapishaven/server.py
+++ b/lapishaven/server.py
@@ -9,28 +9,38 @@
 import time
 from collections.abc import Callable
 from dataclasses import replace
+from random import Random
 
 from cometdrum.interface import Outcome
+from lapishaven.backends import Driver
 from lapishaven.backends.interpreter import Interpreter
+from lapishaven.backends.uwsgi import Uwsgi
 from lapishaven.catalog import Reporter
-from lapishaven.config import Config
+from lapishaven.config import Config, UwsgiBackend, UwsgiFront
 from lapishaven.core.broker import Broker
 from lapishaven.counters import Counters
 from lapishaven.ends import End
-from lapishaven.fronts.platform import Session
+from lapishaven.fronts import Session, platform, uwsgi
 from lapishaven.net.listener import Budget, Listener
 from lapishaven.net.loop import Loop
 
 RESERVE = 48  # descriptors for the program itself: standard streams, epoll, links, files
 SWEEP = 0.05  # s between looks for idle connections
 LEAVE_ROOM = 0.15  # s before the kill at which the program ends by itself
-CROSSING = 0.1  # s after the last answer of a drain, as a request may have crossed the notice
+SEED_MARK = 0x7577736769  # sets the front's random numbers apart from the module's
 
 
 class Server:
     """An embeddable match server; ``run`` serves until it is told to leave."""
 
-    def __init__(self, config: Config, loop: Loop | None = None, log: Callable[[str], None] | None = None):
+    def __init__(
+        self,
+        config: Config,
+        front: UwsgiFront | None = None,
+        backend: UwsgiBackend | None = None,
+        loop: Loop | None = None,
+        log: Callable[[str], None] | None = None,
+    ) -> None:
         self.config, self.loop = config, loop or Loop()
         self.log = log or (lambda text: print(text, file=sys.stderr, flush=True))
         self.counters = Counters()
@@ -38,15 +48,27 @@
         self.draining = False
         self.sessions: dict[Session, None] = {}
         self.budget = Budget(config.descriptors, RESERVE)
-        self.interpreter = Interpreter(
-            self.loop, config.interpreter, config.gauges, self, self.counters
-        )
+        self.classes = {spec.name: n for n, spec in enumerate(config.settings.classes)}
+        self.backend: Driver = Interpreter(self.loop, config.interpreter, config.gauges, self, self.counters)
+        if backend is not None:
+            spans = {spec.name: spec.deadline for spec in config.settings.classes}
+            self.backend = Uwsgi(
+                self.loop, backend.address, backend.path, config.settings.cores, spans, self, self.counters
+            )
         self.reporter = Reporter(self.loop, config.catalog, config.name, self.counters)
         self._good = False
         self._idle = config.settings.idle or 15.0
         self._kill_at = float("inf")
-        self.listener = Listener(self.loop, config.listen, self.budget, self._accepted, self._make_room)
-        self.loop.spawn(self.interpreter.run())
+        def platform_session(sock: socket.socket) -> Session:
+            return platform.Session(self, sock)
+
+        self.listeners = [self._listen(config.listen, platform_session)]
+        if front is not None:
+            random = Random(config.seed ^ SEED_MARK)
+            self.listeners.append(
+                self._listen(front.listen, lambda sock: uwsgi.Session(self, sock, front, random))
+            )
+        self.loop.spawn(self.backend.run())
         self.loop.spawn(self.reporter.run())
         self._sweep()
 
@@ -54,7 +76,7 @@
     def up(self, cold: bool, up_for: float) -> None:
         if self.broker is None:
             settings = replace(self.config.settings, cold=cold)
-            self.broker = Broker(settings, self.config.seed, self.interpreter, self, self.counters)
+            self.broker = Broker(settings, self.config.seed, self.backend, self, self.counters)
 
     def finished(self, handle: str, outcome: Outcome, spent: float, result: bytes) -> None:
         if self.broker is not None:
@@ -76,11 +98,14 @@
         self.log(f"remark: {text}")
 
     # ---- Callers
-    def _accepted(self, sock: socket.socket) -> None:
-        self.counters.add("connections", "accepted")
-        session = Session(self, sock)
-        self.sessions[session] = None
-        self.loop.spawn(session.run())
+    def _listen(self, address: tuple[str, int], session_of: Callable[[socket.socket], Session]) -> Listener:
+        def accepted(sock: socket.socket) -> None:
+            self.counters.add("connections", "accepted")
+            session = session_of(sock)
+            self.sessions[session] = None
+            self.loop.spawn(session.run())
+
+        return Listener(self.loop, address, self.budget, accepted, self._make_room)
 
     def ended(self, session: Session, end: End) -> None:
         if self.sessions.pop(session, 0) is None:
@@ -91,11 +116,11 @@
         if not self._good or not deep:
             told(self._good)
         else:
-            self.interpreter.smoke(told)
+            self.backend.smoke(told)
 
     def _make_room(self) -> bool:
         """Close the connection that has been idle longest, if any is."""
-        idle = [s for s in self.sessions if not s.open and not s.conn.out.size]
+        idle = [s for s in self.sessions if not s.busy and not s.conn.out.size]
         if not idle:
             return False
         min(idle, key=lambda s: s.conn.active).conn.close(End.EVICTED)
@@ -103,7 +128,7 @@
 
     def _sweep(self) -> None:
         old = self.loop.now - self._idle
-        for session in [s for s in self.sessions if s.conn.active < old and not s.open]:
+        for session in [s for s in self.sessions if s.conn.active < old and not s.busy]:
             if not session.conn.out.size:
                 session.conn.close(End.IDLE)
         self.loop.at(self.loop.now + SWEEP, self._sweep)
@@ -121,9 +146,13 @@
             self.loop.stop()
             return
         self.broker.drain(self.loop.now, self._kill_at)
-        self.loop.at(self.loop.now + self.config.settings.drain_grace, self.listener.close)
+        self.loop.at(self.loop.now + self.config.settings.drain_grace, self._close_doors)
         self.loop.at(self._kill_at - LEAVE_ROOM, self._leave)
 
+    def _close_doors(self) -> None:
+        for listener in self.listeners:
+            listener.close()
+
     def _leave(self) -> None:
         for session in list(self.sessions):
             session.conn.flush()
@@ -146,13 +175,13 @@
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
             signal.signal(number, lambda *_: None)  # told through the descriptor
         self.loop.watch(wakeup.fileno(), 1, lambda mask: self._signals(wakeup.recv(64)))
-        self.log(f"lapishaven {self.config.name} pid {os.getpid()} at {self.listener.address}")
+        self.log(f"lapishaven {self.config.name} pid {os.getpid()} at {self.listeners[0].address}")
         try:
             self.loop.run(self.turn, self.next_at)
         finally:
             signal.set_wakeup_fd(old)
-            self.listener.close()
-            self.interpreter.close()
+            self._close_doors()
+            self.backend.close()
             self.reporter.close()
             self.log(self.counters.line())
         return 0
--- /dev/null
+++ b/tests/scenario.py
@@ -0,0 +1,291 @@
+"""The scenario language: lines of send, expect, close and wait, played against a real server.
+
+The server, its fronts, backend and state machines are the real ones on loopback sockets with free ports; only
+its clock is turned by hand, and the scenario drives its loop, so nothing sleeps. Who takes part: ``vm`` is a
+stand-in interpreter, ``c...`` callers on the platform's front, ``u...`` uwsgi clients (one request each),
+``server`` the program itself. A request's body is its label, ``c1.3`` or ``u1``, by which ``vm`` knows it.
+
+    send c1 3 approve-commit      a request with id 3      send u1 approve-commit id=k  over uwsgi
+    send c1 forget 3              send c1 raw TEXT         send c1 check [deep]
+    send vm OK c1.3               the run of c1.3 ended    send vm BANNER COLD          send server TERM
+    expect vm APPLY c1.3          expect vm nothing        expect c1 result 3 | refused 3 | failed 3
+    expect u1 200                 expect c1 closed         close c1          wait 0.5
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+import re
+import select
+import socket
+import unittest
+from typing import Any
+
+from lapishaven import config
+from lapishaven.backends.interpreter import Interpreter
+from lapishaven.net.loop import Loop
+from lapishaven.proto import uwsgi
+from lapishaven.proto.lines import Lines
+from lapishaven.server import Server
+
+CLASSES = [("fuzzy-match", 1.5, 5.6, "free", 1.0), ("approve-commit", 1.1, 3.8, "single_shot", 3.0)]
+SETTINGS: dict[str, Any] = {
+    "callers": {"marks-retry": True}, "customers": [], "peers-total": 3, "value-by": "request",
+    "extra": {
+        "below": "silent", "calls-by-class": [False] * 2, "class-skip-worth": [0.0] * 2, "cold": False,
+        "cores": 6, "deep-checks": True, "dep-window": 5.0, "fair-calls": 0.0, "fresh": 0.0,
+        "gauges": ["core_use", "on_cores", "heap_share", "links"], "halt": "suspend", "idle": 15.0,
+        "key-kb": 112.0, "linger": 0.2, "memory-kb": 29232.0, "passes-deadline": False,
+        "registry-follows": True, "run-factor": 16.0, "said-for": 1.0, "say": "silent", "tells-gone": True,
+        "upstreams": 3,
+    },
+    "limits": {"max-retry-after": 1.0, "retry-after": True},
+    "obligations": {"answer-slack": 0.1, "cold": 17.0, "cold-from": 0.24, "drain-grace": 2.0,
+                    "fall-multiple": 6.0, "tip-after": 1.5},
+    "profiles": [{"name": n, "aim": a, "deadline": d, "effect": e, "credit": w, "late-worth": 0.0,
+                  "window": 5.0} for n, a, d, e, w in CLASSES],
+}  # fmt: skip
+
+
+def configuration(**changes: Any) -> str:
+    data = {
+        "name": "n1", "listen": "127.0.0.1:0", "vm": "127.0.0.1:1", "directory": "127.0.0.1:1",
+        "seed": "8c1f30d27a5be964", "stop_ms": 3200, "settings": SETTINGS,
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 128}, **changes,
+    }  # fmt: skip
+    return json.dumps(data)
+
+
+def listening() -> tuple[socket.socket, str]:
+    sock = socket.create_server(("127.0.0.1", 0))
+    sock.setblocking(False)
+    return sock, "127.0.0.1:%d" % sock.getsockname()[1]
+
+
+class Peer:
+    """A stand-in's end of a connection."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock, self.data, self.closed = sock, bytearray(), False
+        sock.setblocking(False)
+
+    def pump(self) -> bool:
+        try:
+            more = b"" if self.closed else self.sock.recv(65536)
+        except BlockingIOError:
+            return False
+        except ConnectionResetError:
+            more = b""
+        fresh = bool(more) or not self.closed
+        self.closed = self.closed or not more
+        self.data += more
+        return fresh
+
+
+class Vm:
+    """The stand-in interpreter: logs commands, answers gauges, ends runs when the scenario says."""
+
+    def __init__(self) -> None:
+        self.door, self.address = listening()
+        self.link: Peer | None = None
+        self.lines, self.need = Lines(65536), 0
+        self.banner: str | None = "WARM"
+        self.log: list[str] = []
+        self.handles: dict[str, str] = {}  # label -> handle, from the bodies
+        self.applied: list[str] = []
+        self.number, self.load = 0, (0.3, 1.0)
+        self._pending = ""
+
+    def pump(self) -> bool:
+        try:
+            self.link, fresh = Peer(self.door.accept()[0]), True
+            self.lines = Lines(65536)
+        except BlockingIOError:
+            fresh = False
+        if self.link is None:
+            return fresh
+        fresh = self.link.pump() or fresh
+        self.lines.feed(bytes(self.link.data))
+        self.link.data.clear()
+        while True:
+            if self._pending:
+                handle, size = self._pending.split()[1::2]
+                body = self.lines.block(int(size) + 2)
+                if body is None:
+                    return fresh
+                label = body[:-2].decode()
+                self._pending, self.handles[label] = "", handle
+                self.applied.append(label)
+                self.log.append(f"APPLY {label}")
+            line = self.lines.line()
+            if line is None:
+                return fresh
+            word, _, rest = line.decode().partition(" ")
+            if word == "APPLY":
+                self._pending = line.decode()
+            elif word == "TOP":
+                self.tell(f"TOPS {rest} {self.load[0]} {self.load[1]} 0.1 3")
+            elif word == "SMOKE":
+                self.tell(f"SMOKED {rest} OK")
+            else:
+                names = {handle: label for label, handle in self.handles.items()}
+                self.log.append(f"{word} {names.get(rest, rest)}")
+                if word == "CONNECT" and self.banner:
+                    self.tell(f"BANNER {self.banner} 500")
+
+    def tell(self, line: str, body: bytes | None = None) -> None:
+        assert self.link is not None
+        self.link.sock.sendall(line.encode() + b"\r\n" + (body + b"\r\n" if body is not None else b""))
+
+    def end(self, end: str, label: str, number: int | None = None) -> None:
+        self.number = number or self.number + 1
+        body = b"done " + label.encode() if end == "OK" else b""
+        self.tell(f"VALUE {self.number} {self.handles[label]} {end} 200 {len(body)}", body)
+
+
+class World(unittest.TestCase):
+    """One server and its stand-ins; ``play`` runs a scenario."""
+
+    banner: str | None = "WARM"
+
+    def setUp(self) -> None:
+        self.now = 100.0
+        self.vm, (self.directory, directory) = Vm(), listening()
+        self.vm.banner = self.banner
+        text = configuration(vm=self.vm.address, directory=directory)
+        front = config.UwsgiFront(("127.0.0.1", 0), "/match/", 30.0)
+        self.said: list[str] = []
+        self.server = Server(
+            config.parse(text), front, loop=Loop(lambda: self.now), log=self.said.append
+        )
+        self.peers: dict[str, Peer] = {}
+        self.pump()
+
+    def tearDown(self) -> None:
+        self.server._leave()
+        self.server._close_doors()
+        self.server.backend.close()
+        self.server.reporter.close()
+        self.server.loop.close()
+        for sock in [self.vm.door, self.directory, *[p.sock for p in self.peers.values()]]:
+            sock.close()
+        if self.vm.link is not None:
+            self.vm.link.sock.close()
+
+    def pump(self) -> None:
+        """Rounds of the server and its stand-ins until none of them has anything to do."""
+        quiet = 0
+        while quiet < 3:
+            due = self.server.next_at()
+            fresh = due is not None and due <= self.now
+            fresh = bool(select.select([self.server.loop._epoll], [], [], 0)[0]) or fresh
+            self.server.loop.round(0, self.server.turn)
+            for peer in (self.vm, *self.peers.values()):
+                fresh = peer.pump() or fresh
+            quiet = 0 if fresh else quiet + 1
+
+    def wait(self, span: float) -> None:
+        until = self.now + span
+        while self.now < until:
+            self.now = min(until, self.now + 0.025)
+            self.pump()
+
+    def peer(self, name: str) -> Peer:
+        if name not in self.peers:
+            address = self.server.listeners[1 if name[0] == "u" else 0].address
+            self.peers[name] = Peer(socket.create_connection(address))
+        return self.peers[name]
+
+    def play(self, text: str) -> None:
+        for line in filter(None, (line.partition("#")[0].strip() for line in text.splitlines())):
+            with self.subTest(line):
+                verb, *words = line.split()
+                getattr(self, f"do_{verb}")(*words)
+                self.pump()
+
+    def do_wait(self, span: str) -> None:
+        self.wait(float(span))
+
+    def do_close(self, name: str) -> None:
+        peer = self.vm.link if name == "vm" else self.peers[name]
+        assert peer is not None
+        peer.sock.close()
+        peer.closed = True
+
+    def do_send(self, name: str, what: str, *rest: str) -> None:
+        if name == "server":
+            self.server.drain()
+        elif name == "vm":
+            if what == "BANNER":
+                self.vm.tell(f"BANNER {rest[0]} 500")
+            else:
+                self.vm.end(what, rest[0], int(rest[1]) if rest[1:] else None)
+        else:
+            self.peer(name).sock.sendall(self.message(name, what, *rest))
+
+    def message(self, name: str, what: str, *rest: str) -> bytes:
+        if what == "raw":
+            return " ".join(rest).encode().decode("unicode_escape").encode("latin-1")
+        if name[0] == "u":
+            options = dict(word.split("=") for word in rest)
+            variables = {"REQUEST_METHOD": "POST", "PATH_INFO": f"/match/{what}"}
+            variables |= {"HTTP_X_REQUEST_ID": options["id"]} if "id" in options else {}
+            variables |= {"HTTP_X_RETRY": "1"} if "retry" in options else {}
+            return uwsgi.packet(variables, name.encode())
+        params: dict[str, Any] = {}
+        method, id = what, 0
+        if what == "forget":
+            params = {"call": self.call(name, rest[0])}
+        elif what == "check":
+            method, id, params = "isWell", 1, {"e2e": bool(rest)}
+        else:
+            method, id = rest[0], int(what)
+            params = {"call": self.call(name, what), "heap": 24.5, "crit": 0.9,
+                      "arg": base64.b64encode(f"{name}.{what}".encode()).decode()}  # fmt: skip
+        head = {"jsonrpc": "2.0", "method": method, **({"id": id} if id else {})}
+        return json.dumps({**head, "params": params}).encode() + b"\n"
+
+    @staticmethod
+    def call(name: str, id: str) -> str:
+        return f"{int(name[1:]) * 1000 + int(id):016x}"
+
+    def do_expect(self, name: str, what: str, *rest: str) -> None:
+        self.pump()
+        if name == "vm":
+            wanted = " ".join((what, *rest))
+            self.assertEqual(self.vm.log.pop(0) if self.vm.log else "nothing", wanted)
+            return
+        peer = self.peers[name]
+        if what == "nothing":
+            self.assertEqual((bytes(peer.data), peer.closed), (b"", False))
+        elif what == "closed":
+            self.assertTrue(peer.closed)
+        elif name[0] == "u":
+            head, _, body = bytes(peer.data).partition(b"\r\n\r\n")
+            self.assertEqual(head.split()[1:2], [what.encode()], head)
+            self.assertEqual(body if what == "200" else None, b"done " + rest[0].encode() if rest else None)
+            self.assertEqual(b"Retry-After" in head, what == "503")
+            peer.data.clear()
+        else:
+            line, _, left = bytes(peer.data).partition(b"\n")
+            peer.data[:] = left
+            self.assertEqual(self.kind(json.loads(line or b"{}")), " ".join((what, *rest)))
+
+    @staticmethod
+    def kind(answer: dict[str, Any]) -> str:
+        """An answer in the scenario's words."""
+        if answer.get("method") == "draining":
+            return "draining"
+        if "up" in answer.get("result", {}):
+            return "well" if answer["result"]["up"] else "unwell"
+        if "result" in answer:
+            body = base64.b64decode(answer["result"]["arg"]).decode()
+            assert re.fullmatch(rf"done \w+\.{answer['id']}", body), body
+            return f"result {answer['id']}"
+        codes = {-32066: "refused", -32000: "failed"}
+        code = answer.get("error", {}).get("code")
+        return f"{codes.get(code, code)} {answer.get('id')}"
+
+
+__all__ = ["Interpreter", "World", "configuration"]
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,295 @@
+"""Scenarios on the real server: the life of a request on both fronts, drains, broken links."""
+
+from __future__ import annotations
+
+from scenario import World
+
+
+class Platform(World):
+    def test_a_request_is_served_with_its_result_unchanged(self) -> None:
+        self.play("""
+            expect vm CONNECT 0
+            send c1 1 fuzzy-match
+            expect vm APPLY c1.1
+            expect c1 nothing
+            send vm OK c1.1
+            expect c1 result 1
+        """)
+        self.assertEqual(self.server.counters.get("answers", "served"), 1)
+
+    # Guards against a second answer: the run's end comes after the due time was answered.
+    def test_a_due_request_is_answered_once_and_its_run_stopped(self) -> None:
+        self.play("""
+            expect vm CONNECT 0
+            send c1 1 approve-commit
+            expect vm APPLY c1.1
+            wait 3.6
+            expect c1 nothing
+            wait 0.2
+            expect c1 failed 1       # it ran, so this is no refusal
+            expect vm BREAK c1.1
+            send vm OK c1.1
+            expect c1 nothing
+        """)
+
+    # Guards against running what nobody waits for, and against an answer that is no longer owed.
+    def test_forget_stops_the_run(self) -> None:
+        self.play("""
+            expect vm CONNECT 0
+            send c1 1 fuzzy-match
+            expect vm APPLY c1.1
+            send c1 forget 1
+            expect vm BREAK c1.1
+            send vm STOPPED c1.1
+            expect c1 nothing
+        """)
+        self.assertEqual(self.server.broker.requests, {})
+
+    # Guards against a stale try: the same call id must not meet the run of the request before it.
+    def test_the_same_call_on_another_connection_is_not_run_again(self) -> None:
+        self.play("""
+            expect vm CONNECT 0
+            send c1 1 approve-commit
+            expect vm APPLY c1.1
+            close c1
+            expect vm BREAK c1.1
+        """)
+        self.peer("c2").sock.sendall(self.message("c1", "1", "approve-commit"))
+        self.play("""
+            expect c2 failed 1
+            expect vm nothing
+        """)
+
+    # Guards against a link's break losing or doubling runs: old notices are dropped, nothing is sent twice.
+    def test_a_broken_link_is_made_anew_from_the_last_notice(self) -> None:
+        self.play("""
+            expect vm CONNECT 0
+            send c1 1 approve-commit
+            send c1 2 approve-commit
+            expect vm APPLY c1.1
+            expect vm APPLY c1.2
+            send vm OK c1.1
+            expect c1 result 1
+            close vm
+            wait 0.1
+            expect vm CONNECT 1
+            expect vm nothing
+            send vm OK c1.1 1        # a notice that was read before
+            expect c1 nothing
+            send vm OK c1.2 2
+            expect c1 result 2
+        """)
+
+    # Guards against commands lost between two links: what came up meanwhile goes out on the next one, once.
+    def test_what_never_arrived_is_sent_on_the_next_link(self) -> None:
+        self.play("""
+            expect vm CONNECT 0
+            close vm
+        """)
+        self.vm.banner = None
+        self.play("""
+            send c1 1 approve-commit
+            wait 0.1
+            expect vm CONNECT 0
+            expect vm nothing
+            send vm BANNER WARM
+            expect vm APPLY c1.1
+            expect vm nothing
+        """)
+
+    # Guards against work begun after the leave, and against a caller left without the notice.
+    def test_drain_answers_what_was_read_and_runs_nothing_late(self) -> None:
+        self.play("""
+            expect vm CONNECT 0
+            send c1 1 fuzzy-match
+            expect vm APPLY c1.1
+            send server TERM
+            expect c1 draining
+            send c1 2 fuzzy-match    # crossed the notice
+            expect vm APPLY c1.2
+            wait 2.05
+            send c1 3 fuzzy-match
+            expect c1 refused 3
+            expect vm nothing
+            send vm OK c1.1
+            expect c1 result 1
+            wait 1
+            expect c1 failed 2       # before the kill at 3.2 s
+        """)
+
+    # Guards against a crash or a hang on input that is no request, and against an answer to a used id.
+    def test_malformed_lines_get_their_error_and_the_rest_goes_on(self) -> None:
+        self.play(r"""
+            expect vm CONNECT 0
+            send c1 raw {nonsense\n
+            expect c1 -32700 None
+            send c1 raw [1,2]\n
+            expect c1 -32600 None
+            send c1 1 no-such-class
+            expect c1 -32601 1
+            send c1 raw {"id":2,"method":"fuzzy-match","params":{"call":"xyz"}}\n
+            expect c1 -32602 2
+            send c1 3 fuzzy-match
+            send c1 3 fuzzy-match
+            expect c1 -32600 None
+            expect vm APPLY c1.3
+            expect vm nothing
+        """)
+        self.peer("c1").sock.sendall(b"x" * 20_000)
+        self.play("""
+            expect c1 -32700 None
+            expect c1 closed
+        """)
+
+    def test_checks_are_answered_from_the_module_and_deep_ones_by_the_interpreter(self) -> None:
+        self.play("""
+            send c1 check
+            expect c1 well
+            send c2 check deep
+            expect c2 well
+            send server TERM
+            send c3 check
+            expect c3 draining
+            expect c3 unwell
+        """)
+
+    # Guards against closing under a request, and against a table full of idle connections.
+    def test_only_idle_connections_are_closed(self) -> None:
+        self.play("""
+            send c1 1 fuzzy-match
+            send c2 1 fuzzy-match
+            send vm OK c2.1
+            wait 4
+            send vm OK c1.1
+            expect c1 result 1
+            expect c2 result 1
+            wait 12
+            expect c2 closed
+            expect c1 nothing
+        """)
+
+
+class Late(World):
+    banner = None
+
+    # Guards against a start that needs the interpreter: it may come up long after, and cold.
+    def test_the_interpreter_may_be_up_late_and_cold(self) -> None:
+        self.play("""
+            expect vm CONNECT 0
+            send c1 check
+            expect c1 unwell
+            send vm BANNER COLD
+            send c2 check
+            expect c2 well
+        """)
+        self.assertTrue(self.server.broker.settings.cold)
+
+
+class UwsgiFront(World):
+    def test_a_packet_is_served_and_every_end_has_its_status(self) -> None:
+        self.play(r"""
+            expect vm CONNECT 0
+            send u1 fuzzy-match
+            expect vm APPLY u1
+            send vm OK u1
+            expect u1 200 u1
+            expect u1 closed
+            send u2 approve-commit
+            send u3 fuzzy-match
+            send vm ERROR u3
+            expect u3 502
+            wait 3.8
+            expect u2 504
+            send u4 no-such-class
+            expect u4 404
+            send u5 raw \x05\x00\x00\x00
+            expect u5 400
+            send u6 raw \x00\x01\x00\x00x
+            expect u6 400
+            send u7 raw \x00\xff\xff\x00
+            expect u7 413
+            send u8 raw \x00\x16\x00\x00\x0e\x00CONTENT_LENGTH\x04\x009999
+            expect u8 413
+            send u9 raw \x00\x15\x00\x00\x0e\x00CONTENT_LENGTH\x03\x00-11
+            expect u9 400
+        """)
+
+    # Guards against a second commit: the client leaves while it runs, and its gateway tries again.
+    def test_a_commit_whose_client_left_is_never_started_again(self) -> None:
+        self.play("""
+            expect vm CONNECT 0
+            send u1 approve-commit id=k
+            expect vm APPLY u1
+            close u1
+            expect vm BREAK u1
+            send vm STOPPED u1
+            send u2 approve-commit id=k retry=1
+            expect u2 502            # it started once, so no 503
+            wait 10                  # the kept key has run out, the guard has not
+            send u3 approve-commit id=k retry=1
+            expect u3 502
+            expect vm nothing
+        """)
+
+    def test_a_repeat_gets_the_first_try_s_result(self) -> None:
+        self.play("""
+            expect vm CONNECT 0
+            send u1 approve-commit id=k
+            send u2 approve-commit id=k retry=1
+            expect vm APPLY u1
+            expect vm nothing
+            send vm OK u1
+            expect u1 200 u1
+            expect u2 200 u1
+            send u3 approve-commit id=k retry=1
+            expect u3 200 u1
+        """)
+
+    # Guards against a held request that outlives its client: it never starts, and its key is free again.
+    def test_a_disconnect_while_held_frees_the_key(self) -> None:
+        self.vm.load = (1.0, 6.0)
+        self.play("expect vm CONNECT 0\n" + "".join(f"send u{n} fuzzy-match\n" for n in range(1, 7)))
+        self.play("\n".join(f"expect vm APPLY u{n}" for n in range(1, 7)))
+        self.play("""
+            send u7 approve-commit id=k
+            expect vm nothing
+            close u7
+            send vm OK u1
+            expect vm nothing
+            send u8 approve-commit id=k
+            expect vm APPLY u8
+            send vm OK u8
+            expect u8 200 u8
+        """)
+
+    # Guards against a crash when the answer meets a closed connection: it is over once, with one end.
+    def test_a_disconnect_while_answering(self) -> None:
+        self.play("""
+            expect vm CONNECT 0
+            send u1 approve-commit id=k
+            expect vm APPLY u1
+        """)
+        self.vm.end("OK", "u1")  # both wait for the same round
+        self.do_close("u1")
+        self.play("""
+            send u2 approve-commit id=k retry=1
+            expect vm nothing
+        """)
+        self.assertIn(self.peers["u2"].data[9:12], (b"200", b"502"))
+        self.assertEqual(self.server.broker.requests, {})
+
+    def test_drain_refuses_on_uwsgi_as_on_the_platform(self) -> None:
+        self.play("""
+            expect vm CONNECT 0
+            send u1 fuzzy-match
+            send server TERM
+            wait 1.95
+        """)
+        self.peer("u2"), self.pump()
+        self.play("""
+            wait 0.15
+            send u2 fuzzy-match
+            expect u2 503
+            send vm OK u1
+            expect u1 200 u1
+        """)
