--- a/lapishaven/core/broker.py
+++ b/lapishaven/core/broker.py
@@ -100,6 +100,7 @@
             self._answer(r, Answer(Kind.SERVED, result))
         elif outcome in NEVER_RAN:
             self.once.release(*self._names(r))
+            r.ran = False
             self._answer(r, Answer(Kind.REFUSED, reason="the backend did not take it", pushback=BACKEND_WAIT))
         else:
             self._answer(r, Answer(Kind.FAILED, reason=f"the run ended: {outcome.name.lower()}"))
--- a/lapishaven/server.py
+++ b/lapishaven/server.py
@@ -180,7 +180,8 @@
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
             signal.signal(number, lambda *_: None)  # told through the descriptor
         self.loop.watch(wakeup.fileno(), 1, lambda mask: self._signals(wakeup.recv(64)))
-        self.log(f"lapishaven {self.config.name} pid {os.getpid()} at {self.listeners[0].address}")
+        doors = " and ".join("{}:{}".format(*listener.address) for listener in self.listeners)
+        self.log(f"lapishaven {self.config.name} pid {os.getpid()} at {doors}")
         try:
             self.loop.run(self.turn, self.next_at)
         finally:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -7,6 +7,7 @@
 
     send c1 3 approve-commit      a request with id 3      send u1 approve-commit id=k  over uwsgi
     send c1 forget 3              send c1 raw TEXT         send c1 check [deep]
+    expect up fuzzy-match c1.3    send up 200 c1.3         ``up``: a uwsgi server behind the backend
     send vm OK c1.3               the run of c1.3 ended    send vm BANNER COLD          send server TERM
     expect vm APPLY c1.3          expect vm nothing        expect c1 result 3 | refused 3 | failed 3
     expect u1 200                 expect c1 closed         close c1          wait 0.5
@@ -21,6 +22,7 @@
 import socket
 import unittest
 from collections.abc import Generator
+from http import HTTPStatus
 from typing import Any
 
 from lapishaven import config
@@ -142,16 +144,20 @@
     """One server and its stand-ins; ``play`` runs a scenario."""
 
     banner: str | None = "WARM"
+    backend: config.UwsgiBackend | None = None
 
     def setUp(self) -> None:
         self.now = 100.0
-        self.vm = Vm()
+        self.vm = self.interpreter()
+        self.catalog: list[Peer] = []
+        self.catalog_up = self.up_there = False
+        self.up: list[Peer] = []
         self.vm.banner = self.banner
         text = configuration(vm="127.0.0.1:2")
         front = config.UwsgiFront(("127.0.0.1", 0), "/match/", 30.0)
         self.said: list[str] = []
         self.server = Server(
-            config.parse(text), front, loop=Loop(lambda: self.now), log=self.said.append,
+            config.parse(text), front, self.backend, loop=Loop(lambda: self.now), log=self.said.append,
             dial=self.dial,
         )  # fmt: skip
         self.peers: dict[str, Peer] = {}
@@ -163,13 +169,23 @@
         self.server.backend.close()
         self.server.reporter.close()
         self.server.loop.close()
-        for peer in self.peers.values():
+        for peer in (*self.peers.values(), *self.up, *self.catalog):
             peer.sock.close()
         if self.vm.link is not None:
             self.vm.link.sock.close()
 
+    def interpreter(self) -> Vm:
+        return Vm()
+
     def dial(self, loop: Loop, address: tuple[str, int], span: float) -> Generator[Any, Any, Any]:
-        return self.vm.dialled() if address[1] == 2 else End.UNREACHED
+        ours, theirs = socket.socketpair()
+        if address[1] == 2:
+            return self.vm.dialled()
+        there, peers = (self.up_there, self.up) if address[1] == 3 else (self.catalog_up, self.catalog)
+        if not there:
+            return End.UNREACHED
+        peers.append(Peer(ours))
+        return theirs
         yield
 
     def pump(self) -> None:
@@ -180,7 +196,7 @@
             fresh = due is not None and due <= self.now
             fresh = bool(select.select([self.server.loop._epoll], [], [], 0)[0]) or fresh
             self.server.loop.round(0, self.server.turn)
-            for peer in (self.vm, *self.peers.values()):
+            for peer in (self.vm, *self.peers.values(), *self.up, *self.catalog):
                 fresh = peer.pump() or fresh
             quiet = 0 if fresh else quiet + 1
 
@@ -208,7 +224,7 @@
         self.wait(float(span))
 
     def do_close(self, name: str) -> None:
-        peer = self.vm.link if name == "vm" else self.peers[name]
+        peer = self.vm.link if name == "vm" else self.up[-1] if name == "up" else self.peers[name]
         assert peer is not None
         peer.sock.close()
         peer.closed = True
@@ -216,6 +232,10 @@
     def do_send(self, name: str, what: str, *rest: str) -> None:
         if name == "server":
             self.server.drain()
+        elif name == "up":
+            body = b"done " + rest[0].encode() if rest else b""
+            more = (("Retry-After", "1"),) if what == "503" else ()
+            self.up[-1].sock.sendall(uwsgi.response(HTTPStatus(int(what)), body, "text/plain", more))
         elif name == "vm":
             if what == "BANNER":
                 self.vm.tell(f"BANNER {rest[0]} 500")
@@ -256,8 +276,13 @@
             wanted = " ".join((what, *rest))
             self.assertEqual(self.vm.log.pop(0) if self.vm.log else "nothing", wanted, self.line)
             return
-        peer = self.peers[name]
-        if what == "nothing":
+        peer = self.up[-1] if name == "up" else self.peers[name]
+        if name == "up" and what != "closed":
+            request = uwsgi.Server().feed(bytes(peer.data))
+            assert request is not None
+            got = request.vars["PATH_INFO"].rpartition("/")[2], request.body.decode()
+            self.assertEqual(got, (what, *rest), self.line)
+        elif what == "nothing":
             self.assertEqual((bytes(peer.data), peer.closed), (b"", False))
         elif what == "closed":
             self.assertTrue(peer.closed)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -4,6 +4,8 @@
 
 from scenario import World
 
+from lapishaven import config
+
 
 class Platform(World):
     def test_a_request_is_served_with_its_result_unchanged(self) -> None:
@@ -293,3 +295,79 @@
             send vm OK u1
             expect u1 200 u1
         """)
+
+
+class UwsgiBackend(World):
+    backend = config.UwsgiBackend(("127.0.0.1", 3), "/run/")
+
+    def test_an_attempt_is_sent_and_its_ends_are_mapped(self) -> None:
+        self.up_there = True
+        self.play("""
+            send c1 1 fuzzy-match
+            expect up fuzzy-match c1.1
+            send up 200 c1.1
+            expect c1 result 1
+            send u1 approve-commit id=k
+            expect up approve-commit u1
+            close up                 # it may have run: no refusal, and never again
+            expect u1 502
+            send u2 approve-commit id=k retry=1
+            expect u2 502
+            send u3 approve-commit id=n
+            expect up approve-commit u3
+            send up 503              # turned away unrun, so it may be tried again
+            expect u3 503
+            send u4 approve-commit id=n retry=1
+            expect up approve-commit u4
+            send up 200 u4
+            expect u4 200 u4
+            send c1 2 fuzzy-match
+            send up 500
+            expect c1 failed 2
+            send c1 3 fuzzy-match
+            send c1 forget 3         # a uwsgi attempt is halted by closing it
+            expect up closed
+            send c1 4 approve-commit
+            wait 3.8
+            expect c1 failed 4
+            expect up closed
+        """)
+
+    def test_a_server_that_cannot_be_reached_never_ran_it(self) -> None:
+        self.play("""
+            send c1 1 approve-commit
+            expect c1 refused 1
+            send u1 approve-commit id=k
+            expect u1 503
+            send c2 check deep
+            expect c2 unwell
+        """)
+
+
+class Catalog(World):
+    # Guards against lapsing from the list: 3 s without a report, with the catalog down in between.
+    def test_reports_are_steady_and_start_once_the_catalog_is_up(self) -> None:
+        self.wait(4)
+        self.catalog_up = True
+        reports: list[tuple[float, bytes]] = []
+
+        def watch(span: float) -> None:
+            until = self.now + span
+            while self.now < until:
+                self.wait(0.05)
+                for peer in self.catalog:
+                    if peer.data:
+                        reports.append((self.now, bytes(peer.data)))
+                        peer.data.clear()
+                        peer.sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+
+        start = self.now
+        watch(3)
+        self.assertLess(reports[0][0] - start, 0.3)
+        gaps = [b[0] - a[0] for a, b in zip(reports, reports[1:], strict=False)]
+        self.assertLess(max(gaps), 1.0)
+        self.assertTrue(all(data.startswith(b"PUT /catalog/register/n1 HTTP/1.1\r\n") for _, data in reports))
+        self.assertEqual(len(self.catalog), 1)  # one connection, kept
+        self.server.drain()
+        watch(0.1)
+        self.assertIn(b'"critical"', reports[-1][1])
