Bound what unread answers and bursts may hold, and fuzz the state machines

Checked by sums: 512 connections with 512 KiB of unsent answers each would be 256 MB, over the 192 MB limit, and a ring kept its largest size for good. Now unsent bytes of all connections share one bound of 48 MiB (net/conn.py), rings shrink when empty, input rings end at 16 KiB. The machines are fuzzed: any cut of the stream gives the same messages, nonsense gives a ProtocolError at most.

--- a/lapishaven/net/conn.py
+++ b/lapishaven/net/conn.py
@@ -12,8 +12,9 @@
 from lapishaven.net.loop import Loop, Wait
 from lapishaven.net.ring import Ring, RingFull
 
-IN_LIMIT = 64 * 1024
+IN_LIMIT = 16 * 1024
 OUT_LIMIT = 512 * 1024
+UNSENT_LIMIT = 48 * 1024 * 1024  # bytes for callers that do not read, all together: a quarter of the memory
 OUT_HIGH = 128 * 1024  # unsent bytes past which nothing more is read
 LINGER = 1.0  # s for the peer to read the last answer and close, before it is closed all the same
 BROKEN = select.EPOLLERR | select.EPOLLHUP
@@ -83,17 +84,22 @@
         """Queue bytes; they are sent at the end of the round."""
         if self.end is not None:
             return
+        if self.loop.unsent + len(data) > UNSENT_LIMIT:
+            return self.close(End.EVICTED)
         try:
             self.out.write(data)
         except RingFull:
             return self.close(End.EVICTED)
+        self.loop.unsent += len(data)
         self.active = self.loop.now
         self.loop.after(self.flush)
 
     def flush(self) -> None:
         try:
             while self.end is None and self.out.size:
-                self.sent += self.out.send(self.sock)
+                count = self.out.send(self.sock)
+                self.sent += count
+                self.loop.unsent -= count
         except BlockingIOError:
             pass
         except OSError:
@@ -119,6 +125,7 @@
         if self.end is not None:
             return
         self.end = end
+        self.loop.unsent -= self.out.size
         self.loop.unwatch(self.sock.fileno())
         self.sock.close()
         self._on_end(end)
--- a/lapishaven/net/loop.py
+++ b/lapishaven/net/loop.py
@@ -47,6 +47,7 @@
         self._order = count()
         self._after: dict[Callable[[], None], None] = {}
         self._stopped = False
+        self.unsent = 0  # bytes that all connections have queued and not yet sent
 
     # ---- Descriptors
     def watch(self, fd: int, mask: int, callback: Callable[[int], None]) -> None:
--- a/lapishaven/net/ring.py
+++ b/lapishaven/net/ring.py
@@ -4,6 +4,8 @@
 
 from socket import socket
 
+KEPT = 4096  # bytes that an empty ring keeps at most
+
 
 class RingFull(Exception):
     """There is no room up to the ring's limit."""
@@ -55,6 +57,9 @@
 
     def skip(self, count: int) -> None:
         self.size -= count
+        if not self.size and len(self._data) > KEPT:
+            # A burst's memory is not kept by a connection that is empty again.
+            self._data = bytearray(min(KEPT, self.limit))
         self._head = (self._head + count) % len(self._data) if self.size else 0
 
     def take(self) -> bytes:
--- /dev/null
+++ b/tests/test_machines.py
@@ -0,0 +1,103 @@
+"""The state machines and buffers, fed bytes in any pieces and any nonsense."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable, Iterable
+from typing import Any
+from unittest import mock
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from scenario import World
+
+from lapishaven.net import conn
+from lapishaven.net.ring import Ring, RingFull
+from lapishaven.proto import ProtocolError, catalog, interpreter, jsonrpc, uwsgi
+
+LINES = (
+    b'{"jsonrpc":"2.0","id":1,"method":"m","params":{"call":"9b1f03aa5c7e2d41","heap":24.5,"arg":"AAH/"}}\n'
+    b'nonsense\n{"jsonrpc":"2.0","method":"forget","params":{"call":"9b1f03aa5c7e2d41"}}\n'
+)
+NOTICES = (
+    b"BANNER COLD 12\r\nVALUE 1 ab OK 200 4\r\n\r\n\n\r\r\nTOPS t 0.5 3 0.1 9\r\n"
+    b"ERROR APPLY ab\r\nTRACE 2 a b\r\n"
+)
+PACKET = uwsgi.packet({"PATH_INFO": "/match/m", "HTTP_X_REQUEST_ID": "k"}, b"\x00\xff")
+PAGE = uwsgi.response(uwsgi.HTTPStatus.OK, b"done", "text/plain")
+
+
+def reporter() -> catalog.Client:
+    client = catalog.Client("host", "n1")
+    client.report(True)
+    return client
+
+
+MACHINES: list[tuple[Callable[[], Any], bytes, int]] = [
+    (jsonrpc.Server, LINES, 3),
+    (interpreter.Client, NOTICES, 5),
+    (uwsgi.Server, PACKET, 1),
+    (uwsgi.Client, PAGE, 1),
+    (reporter, b"HTTP/1.1 204 No Content\r\n\r\n", 1),
+]
+
+
+def messages(machine: Any, pieces: Iterable[bytes]) -> list[Any]:
+    out: list[Any] = []
+    for piece in pieces:
+        got = machine.feed(piece)
+        out += [] if got is None else list(got) if hasattr(got, "__next__") else [got]
+    return out
+
+
+class Machines(unittest.TestCase):
+    # Guards against messages that depend on how the kernel cuts the stream.
+    @settings(derandomize=True, deadline=None, max_examples=60)
+    @given(st.integers(0, len(MACHINES) - 1), st.lists(st.integers(1, 40), min_size=1, max_size=30))
+    def test_pieces_of_any_size_give_the_same_messages(self, which: int, sizes: list[int]) -> None:
+        make, data, count = MACHINES[which]
+        pieces, at = [], 0
+        while at < len(data):
+            size = sizes[len(pieces) % len(sizes)]
+            pieces.append(data[at : at + size])
+            at += size
+        whole = messages(make(), [data])
+        self.assertEqual(messages(make(), pieces), whole)
+        self.assertEqual(len(whole), count)
+
+    # Guards against a crash on hostile input: anything else than a ProtocolError would leave the machine.
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    @given(st.integers(0, len(MACHINES) - 1), st.binary(max_size=200), st.integers(0, 120), st.booleans())
+    def test_nonsense_is_a_protocol_error_at_most(self, which: int, junk: bytes, at: int, cut: bool) -> None:
+        make, data, _ = MACHINES[which]
+        try:
+            messages(make(), [data[:at] + junk + (b"" if cut else data[at:]) + b"\n"])
+        except ProtocolError:
+            return
+
+    @settings(derandomize=True, deadline=None, max_examples=60)
+    @given(st.lists(st.tuples(st.binary(max_size=90), st.integers(0, 90)), max_size=40))
+    def test_the_ring_is_a_queue_with_a_limit(self, steps: list[tuple[bytes, int]]) -> None:
+        ring, model = Ring(200, 16), b""
+        for data, count in steps:
+            if len(model) + len(data) > 200:
+                self.assertRaises(RingFull, ring.write, data)
+            else:
+                ring.write(data)
+                model += data
+            self.assertEqual(ring.peek(count), model[:count])
+            ring.skip(min(count, len(model)))
+            model = model[min(count, len(model)) :]
+            self.assertEqual(len(ring), len(model))
+
+
+class Unread(World):
+    # Guards against death by memory: callers that never read leave answers here, up to one common bound.
+    def test_answers_that_nobody_reads_are_bounded(self) -> None:
+        with mock.patch.object(conn, "UNSENT_LIMIT", 400):
+            self.play("send c1 1 no-such-class\nexpect c1 -32601 1")
+            self.peer("c1").sock.sendall(b"x\n" * 20)  # twenty errors in one round are over the bound
+            self.pump()
+        self.play("send c2 1 fuzzy-match\nsend vm OK c2.1\nexpect c2 result 1")
+        self.assertEqual(self.server.counters.get("ends", "caller evicted"), 1)
+        self.assertEqual(self.server.loop.unsent, 0)
