--- a/lapishaven/cli.py
+++ b/lapishaven/cli.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import sys
-from typing import Annotated
+from typing import Annotated, NoReturn
 
 import typer
 
@@ -15,41 +15,72 @@
 )
 File = Annotated[str | None, typer.Option("--config", help="Configuration file; else NODE_CONFIG names it.")]
 
-Loaded = tuple[config.Config, config.UwsgiFront | None, config.UwsgiBackend | None]
 Uwsgi = Annotated[
     str | None, typer.Option("--uwsgi", help="File that turns uwsgi on; else it is off.")
 ]
+Terms = Annotated[
+    str | None, typer.Option("--contracts", help="File of contracts and budgets; else none are checked.")
+]
+Record = Annotated[
+    str | None, typer.Option("--record", help="SQLite file for the store of record; else none is kept.")
+]
 
 
-def _load(path: str | None, uwsgi: str | None) -> Loaded:
-    try:
-        return config.load(path), *(config.uwsgi(uwsgi) if uwsgi else (None, None))
-    except config.ConfigError as error:
-        print(f"lapishaven: {error}", file=sys.stderr)
-        raise typer.Exit(2) from None
+def _fail(text: str) -> NoReturn:
+    print(f"lapishaven: {text}", file=sys.stderr)
+    raise typer.Exit(2)
+
+
+class Loaded:
+    """All files that a command names, checked."""
+
+    def __init__(self, path: str | None, uwsgi: str | None, terms: str | None) -> None:
+        try:
+            self.config = config.load(path)
+            self.front, self.backend = config.uwsgi(uwsgi) if uwsgi else (None, None)
+            routes = {"interpreter"} | ({"uwsgi"} if self.backend else set())
+            settings = self.config.settings
+            self.contracts = config.contracts(terms, settings, routes) if terms else None
+        except config.ConfigError as error:
+            _fail(str(error))
 
 
 @app.command()
-def serve(path: File = None, uwsgi: Uwsgi = None) -> None:
+def serve(path: File = None, uwsgi: Uwsgi = None, contracts: Terms = None, record: Record = None) -> None:
     """Serve until SIGTERM; SIGUSR1 prints the counters."""
+    from lapishaven.counters import Counters
     from lapishaven.server import Server
 
-    loaded, front, backend = _load(path, uwsgi)
+    loaded, counters, store = Loaded(path, uwsgi, contracts), Counters(), None
+    if record is not None:
+        import sqlite3
+
+        from lapishaven.store import Sqlite
+
+        try:
+            store = Sqlite(record, lambda: counters.add("store", "dropped"))
+        except sqlite3.Error as error:
+            _fail(f"cannot open {record}: {error}")
     try:
-        server = Server(loaded, front, backend)
+        server = Server(
+            loaded.config, loaded.front, loaded.backend, contracts=loaded.contracts, store=store,
+            counters=counters,
+        )  # fmt: skip
     except OSError as error:
-        print(f"lapishaven: cannot listen: {error.strerror}", file=sys.stderr)
-        raise typer.Exit(2) from None
+        _fail(f"cannot listen: {error.strerror}")
     raise typer.Exit(server.run())
 
 
 @app.command("check-config")
-def check_config(path: File = None, uwsgi: Uwsgi = None) -> None:
-    """Check the configuration and say what it holds."""
-    loaded, front, backend = _load(path, uwsgi)
-    classes = ", ".join(f"{c.name} ({c.effect.value}, {c.deadline:g} s)" for c in loaded.settings.classes)
-    print(f"{loaded.name}: listens on {loaded.listen[0]}:{loaded.listen[1]}; classes {classes}")
+def check_config(path: File = None, uwsgi: Uwsgi = None, contracts: Terms = None) -> None:
+    """Check the files and say what they hold."""
+    loaded = Loaded(path, uwsgi, contracts)
+    name, (host, port), specs = loaded.config.name, loaded.config.listen, loaded.config.settings.classes
+    print(f"{name}: listens on {host}:{port}")
+    print("classes " + ", ".join(f"{c.name} ({c.effect.value}, {c.deadline:g} s)" for c in specs))
+    front, backend = loaded.front, loaded.backend
     print(f"uwsgi front {front.listen if front else 'off'}, backend {backend.address if backend else 'off'}")
+    print(f"contracts {'off' if loaded.contracts is None else len(loaded.contracts)}")
 
 
 @app.command()
--- a/lapishaven/config.py
+++ b/lapishaven/config.py
@@ -12,6 +12,7 @@
 
 from cometdrum import interface as i
 from cometdrum import wire
+from lapishaven.core.contracts import Contract
 
 Address = tuple[str, int]
 
@@ -112,12 +113,44 @@
     return parse(text)
 
 
-def uwsgi(path: str) -> tuple[UwsgiFront | None, UwsgiBackend | None]:
-    """The uwsgi front and backend that a project file names; a missing table leaves that side off."""
+def _toml(path: str) -> dict[str, Any]:
     try:
-        data = tomllib.loads(Path(path).read_text())
+        return tomllib.loads(Path(path).read_text())
     except (OSError, ValueError) as error:
         raise ConfigError(f"cannot read {path}: {getattr(error, 'strerror', None) or error}") from None
+
+
+def contracts(path: str, settings: i.Settings, routes: set[str]) -> list[Contract]:
+    """The contracts in a project file, checked against the classes and the backends that are there."""
+    classes = {spec.name: (n, spec.deadline) for n, spec in enumerate(settings.classes)}
+    rows = _toml(path).get("contract")
+    if not isinstance(rows, list) or not rows:
+        raise ConfigError(f"{path}: there is no [[contract]]")
+    found: dict[tuple[str, str, int], Contract] = {}
+    for n, row in enumerate(rows, 1):
+        where = f"{path}: contract {n}"
+        if set(row) != {"team", "service", "class", "deadline_s", "route", "rate", "burst"}:
+            raise ConfigError(f"{where} needs exactly team, service, class, deadline_s, route, rate, burst")
+        if row["class"] not in classes:
+            raise ConfigError(f"{where}: no class {row['class']!r}")
+        if row["route"] not in routes:
+            raise ConfigError(f"{where}: no backend {row['route']!r} is configured")
+        cls, deadline = classes[row["class"]]
+        try:
+            span, rate, burst = (_positive(row, key) for key in ("deadline_s", "rate", "burst"))
+        except ConfigError as error:
+            raise ConfigError(f"{where}: {error}") from None
+        if span > deadline or burst < 1:
+            raise ConfigError(f"{where}: deadline_s is past the class's {deadline:g}, or burst is under 1")
+        contract = Contract(str(row["team"]), str(row["service"]), cls, span, row["route"], rate, burst)
+        if found.setdefault((contract.team, contract.service, cls), contract) is not contract:
+            raise ConfigError(f"{where}: team, service and class have a contract already")
+    return list(found.values())
+
+
+def uwsgi(path: str) -> tuple[UwsgiFront | None, UwsgiBackend | None]:
+    """The uwsgi front and backend that a project file names; a missing table leaves that side off."""
+    data = _toml(path)
     if odd := set(data) - {"front", "backend"}:
         raise ConfigError(f"{path}: unknown table {sorted(odd)[0]}")
     front, backend = data.get("front"), data.get("backend")
--- a/lapishaven/core/broker.py
+++ b/lapishaven/core/broker.py
@@ -7,12 +7,24 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Mapping
 from heapq import heappop, heappush
 
 from cometdrum import interface as i
 from cometdrum.controller import Controller
+from lapishaven.core.contracts import Contracts, Denied
 from lapishaven.core.keys import KeyTable
-from lapishaven.core.model import Answer, Backend, Kind, Reply, Request, Signals, State, Submission
+from lapishaven.core.model import (
+    Answer,
+    Backend,
+    Kind,
+    Record,
+    Reply,
+    Request,
+    Signals,
+    State,
+    Submission,
+)
 from lapishaven.core.once import OnceGuard
 from lapishaven.counters import Counters
 
@@ -29,10 +41,20 @@
     """The request table and its rules, round one Controller."""
 
     def __init__(
-        self, settings: i.Settings, seed: int, backend: Backend, signals: Signals, counters: Counters
+        self,
+        settings: i.Settings,
+        seed: int,
+        backend: Backend,
+        signals: Signals,
+        counters: Counters,
+        contracts: Contracts | None = None,
+        routes: Mapping[str, Backend] | None = None,
+        record: Record = lambda event, sub, detail: None,
     ) -> None:
         self.settings, self.backend, self.signals, self.counters = settings, backend, signals, counters
+        self.contracts, self.routes, self._record = contracts, routes or {}, record
         self.controller = Controller(settings, seed)
+        self.classes = {spec.name: n for n, spec in enumerate(settings.classes)}
         self.requests: dict[int, Request] = {}
         self.by_handle: dict[str, Request] = {}
         self.keys = KeyTable()
@@ -54,12 +76,20 @@
         if sub.handle in self.by_handle or self.once.claimed(sub.handle):
             # The backend knows runs by this name, so a second request under it could meet the first one's
             # result. It may have run, so this is no refusal.
-            self._count(Kind.FAILED)
-            reply(Answer(Kind.FAILED, reason="this try is known already"))
+            self._send(sub, reply, Answer(Kind.FAILED, reason="this try is known already"))
             return None
         spec = self.settings.classes[sub.cls]
-        arrived = now - min(max(sub.age, 0.0), spec.deadline)
-        r = Request(self._new_id(), sub, reply, arrived, arrived + spec.deadline)
+        span, backend = spec.deadline, self.backend
+        if self.contracts is not None and sub.team is not None:
+            terms = self.contracts.admit(now, (sub.team, sub.service, sub.cls))
+            if isinstance(terms, Denied):
+                kind = Kind.DENIED if terms.wait is None else Kind.REFUSED
+                self.counters.add("reasons", terms.reason)
+                self._send(sub, reply, Answer(kind, b"", terms.reason, terms.wait))
+                return None
+            span, backend = min(span, terms.deadline), self.routes[terms.route]
+        arrived = now - min(max(sub.age, 0.0), span)
+        r = Request(self._new_id(), sub, reply, arrived, arrived + span, backend)
         self.requests[r.id] = self.by_handle[sub.handle] = r
         heappush(self._dues, (min(max(r.due, now), self._kill_at - KILL_ROOM), r.id))
         if sub.key is not None and spec.effect is not i.Effect.SAFE:
@@ -69,8 +99,8 @@
             else:
                 r.repeats = known.id
         self._events.append(i.Arrival(
-            r.id, sub.kb, 0, None, sub.caller, now - arrived, sub.retry, sub.write, sub.cls, sub.rank,
-            sub.subject, None, r.repeats,
+            r.id, sub.kb, 0, r.due if span < spec.deadline else None, sub.caller, now - arrived, sub.retry,
+            sub.write, sub.cls, sub.rank, sub.subject, None, r.repeats,
         ))  # fmt: skip
         return r
 
@@ -84,6 +114,10 @@
         if r.state in (State.HELD, State.ATTACHED, State.PAUSED):
             self._close(r)
 
+    def remember(self, now: float, cls: str, key: str, age: float) -> None:
+        """A keyed run that an earlier life of this server started, so that it is not started again."""
+        self.once.claim(now - age, (self.classes[cls], key))
+
     # ---- From the backend
     def finished(self, handle: str, outcome: i.Outcome, spent: float, result: bytes = b"") -> None:
         """An attempt ended."""
@@ -101,6 +135,7 @@
         elif outcome in NEVER_RAN:
             self.once.release(*self._names(r))
             r.ran = False
+            self._record("unrun", r.sub, outcome.name.lower())
             self._answer(r, Answer(Kind.REFUSED, reason="the backend did not take it", pushback=BACKEND_WAIT))
         else:
             self._answer(r, Answer(Kind.FAILED, reason=f"the run ended: {outcome.name.lower()}"))
@@ -192,7 +227,7 @@
                 self._close(r)
         elif isinstance(action, i.Halt):
             if r.state is State.RUNNING:
-                self.backend.halt(r.sub.handle)
+                r.backend.halt(r.sub.handle)
         elif isinstance(action, i.Keep):
             if r.sub.key is not None:
                 self.keys.keep((r.sub.cls, r.sub.key), r.id, now + action.life)
@@ -205,7 +240,7 @@
     def _start(self, now: float, r: Request) -> None:
         if r.state is State.PAUSED:
             r.state = State.RUNNING
-            self.backend.resume(r.sub.handle)
+            r.backend.resume(r.sub.handle)
             return
         if r.state is not State.HELD:
             return
@@ -221,7 +256,8 @@
         r.state, r.ran = State.RUNNING, True
         heappush(self._orphans, (r.due + ORPHAN, r.id))
         self.counters.add("attempts", "started")
-        self.backend.start(sub.handle, spec.name, sub.body)
+        self._record("started", sub, "")
+        r.backend.start(sub.handle, spec.name, sub.body)
 
     @staticmethod
     def _names(r: Request) -> tuple[str | tuple[int, str], ...]:
@@ -254,11 +290,12 @@
     def _answer(self, r: Request, answer: Answer) -> None:
         reply, r.reply = r.reply, None
         if reply is not None:
-            self._count(answer.kind)
-            reply(answer)
+            self._send(r.sub, reply, answer)
 
-    def _count(self, kind: Kind) -> None:
-        self.counters.add("answers", kind.value)
+    def _send(self, sub: Submission, reply: Reply, answer: Answer) -> None:
+        self.counters.add("answers", answer.kind.value)
+        self._record("answered", sub, answer.kind.value)
+        reply(answer)
 
     def _close(self, r: Request, result: bytes | None = None) -> None:
         if r.state is State.OVER:
--- /dev/null
+++ b/lapishaven/core/contracts.py
@@ -0,0 +1,49 @@
+"""Contracts between teams' services and this broker: what they may ask for, how much of it, and by when."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+Party = tuple[str, str, int]  # team, service, class
+
+
+@dataclass(frozen=True, slots=True)
+class Contract:
+    """One service's right to one class."""
+
+    team: str
+    service: str
+    cls: int
+    deadline: float  # seconds; never past the class's own
+    route: str  # the backend that runs it
+    rate: float  # requests a second that the budget is refilled with
+    burst: float  # requests that it holds at most
+
+
+@dataclass(frozen=True, slots=True)
+class Denied:
+    """Why a request does not come before the module, and when it may."""
+
+    reason: str
+    wait: float | None  # None: waiting does not help
+
+
+class Contracts:
+    """The book of contracts with each one's budget, a token bucket."""
+
+    def __init__(self, contracts: list[Contract]) -> None:
+        self._book = {(c.team, c.service, c.cls): c for c in contracts}
+        self._budget: dict[Party, tuple[float, float]] = {}  # when, and what was left then
+
+    def admit(self, now: float, party: Party) -> Contract | Denied:
+        """The contract that covers a request, whose budget is then charged with it."""
+        contract = self._book.get(party)
+        if contract is None:
+            return Denied("no contract", None)
+        since, left = self._budget.get(party, (now, contract.burst))
+        left = min(contract.burst, left + contract.rate * (now - since))
+        if left < 1.0:
+            self._budget[party] = now, left
+            return Denied("over budget", (1.0 - left) / contract.rate)
+        self._budget[party] = now, left - 1.0
+        return contract
--- a/lapishaven/core/model.py
+++ b/lapishaven/core/model.py
@@ -14,6 +14,7 @@
     REFUSED = "refused"  # this try never ran and never will
     FAILED = "failed"
     DUE = "due"  # failed as its due time came
+    DENIED = "denied"  # no contract covers it; it never ran, and trying again does not help
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +43,8 @@
     write: bool = False
     subject: int | None = None
     key: str | None = None  # names the effect, where the front's protocol has such a key
+    team: str | None = None  # whose contract it comes under; None where the front's protocol names no team
+    service: str = ""
 
 
 class Reply(Protocol):
@@ -59,6 +62,12 @@
     def gauges(self) -> None: ...
 
 
+class Record(Protocol):
+    """What keeps a record of starts and answers."""
+
+    def __call__(self, event: str, sub: Submission, detail: str) -> None: ...
+
+
 class Signals(Protocol):
     """What the module tells the outside apart from answers."""
 
@@ -84,6 +93,7 @@
     reply: Reply | None
     arrived: float
     due: float
+    backend: Backend
     state: State = State.HELD
     ran: bool = False
     repeats: int | None = None
--- a/lapishaven/fronts/uwsgi.py
+++ b/lapishaven/fronts/uwsgi.py
@@ -3,11 +3,13 @@
 The class is the last part of the path. The variables that are read, besides CONTENT_LENGTH and PATH_INFO:
 HTTP_X_REQUEST_ID names the effect, the same for every try of it; HTTP_X_RETRY is 1 on a further try;
 HTTP_X_REQUEST_START is when the request came to the gateway (``t=`` Unix seconds); HTTP_X_CALLER is the
-caller's number. README.md has the table of statuses; ``STATUS`` and ``ERRORS`` are its one definition.
+caller's number; HTTP_X_TEAM and HTTP_X_SERVICE name whose contract it comes under. README.md has the table of
+statuses; ``STATUS`` and ``ERRORS`` are its one definition.
 """
 
 from __future__ import annotations
 
+import json
 import math
 import socket
 import time
@@ -36,6 +38,7 @@
     Kind.REFUSED: HTTPStatus.SERVICE_UNAVAILABLE,  # never ran; the only one that invites a retry
     Kind.FAILED: HTTPStatus.BAD_GATEWAY,
     Kind.DUE: HTTPStatus.GATEWAY_TIMEOUT,
+    Kind.DENIED: HTTPStatus.FORBIDDEN,  # no contract
 }
 ERRORS: dict[type[Exception], HTTPStatus] = {
     ProtocolError: HTTPStatus.BAD_REQUEST,
@@ -65,10 +68,14 @@
             started = math.nan
         if not math.isfinite(started):
             raise ProtocolError("HTTP_X_REQUEST_START is not a time")
+    team, service = get("HTTP_X_TEAM", ""), get("HTTP_X_SERVICE", "")
+    # Two services may use the same id for different effects.
+    key = json.dumps([team, service, id]) if id else None
     who = int(caller[:10]) if caller else zlib.crc32(get("REMOTE_ADDR", "").encode()) % 65536
     return Submission(
         handle, classes[name], request.body, front.held_kb, age=now - started if started else 0.0,
-        caller=who, retry=get("HTTP_X_RETRY") == "1", write=True, key=id or None,
+        caller=who, retry=get("HTTP_X_RETRY") == "1", write=True, key=key,
+        team=team, service=service,
     )  # fmt: skip
 
 
--- a/lapishaven/server.py
+++ b/lapishaven/server.py
@@ -17,13 +17,16 @@
 from lapishaven.backends.uwsgi import Uwsgi
 from lapishaven.catalog import Reporter
 from lapishaven.config import Config, UwsgiBackend, UwsgiFront
-from lapishaven.core.broker import Broker
+from lapishaven.core import Submission
+from lapishaven.core.broker import ONCE_LIFE, Broker
+from lapishaven.core.contracts import Contract, Contracts
 from lapishaven.counters import Counters
 from lapishaven.ends import End
 from lapishaven.fronts import Session, platform, uwsgi
 from lapishaven.net.conn import Dial, connect
 from lapishaven.net.listener import Budget, Listener
 from lapishaven.net.loop import Loop
+from lapishaven.store import Entry, Store
 
 RESERVE = 48  # descriptors for the program itself: standard streams, epoll, links, files
 SWEEP = 0.05  # s between looks for idle connections
@@ -42,24 +45,32 @@
         loop: Loop | None = None,
         log: Callable[[str], None] | None = None,
         dial: Dial = connect,
+        contracts: list[Contract] | None = None,
+        store: Store | None = None,
+        counters: Counters | None = None,
     ) -> None:
         self.config, self.loop = config, loop or Loop()
         self.log = log or (lambda text: print(text, file=sys.stderr, flush=True))
-        self.counters = Counters()
+        self.counters = counters or Counters()
         self.broker: Broker | None = None
         self.draining = False
         self.sessions: dict[Session, None] = {}
         self.budget = Budget(config.descriptors, RESERVE)
         self.classes = {spec.name: n for n, spec in enumerate(config.settings.classes)}
-        self.backend: Driver = Interpreter(
-            self.loop, config.interpreter, config.gauges, self, self.counters, dial
-        )
+        self.store, self._contracts = store, contracts
+        self.drivers: dict[str, Driver] = {}
         if backend is not None:
             spans = {spec.name: spec.deadline for spec in config.settings.classes}
-            self.backend = Uwsgi(
+            self.drivers["uwsgi"] = Uwsgi(
                 self.loop, backend.address, backend.path, config.settings.cores, spans, self, self.counters,
                 dial,
             )  # fmt: skip
+        if backend is None or any(c.route == "interpreter" for c in contracts or []):
+            self.drivers["interpreter"] = Interpreter(
+                self.loop, config.interpreter, config.gauges, self, self.counters, dial
+            )
+        # The first one runs what no contract routes elsewhere, and tells the gauges that the module sees.
+        self.backend = next(iter(self.drivers.values()))
         self.reporter = Reporter(self.loop, config.catalog, config.name, self.counters, dial)
         self._good = False
         self._idle = config.settings.idle or 15.0
@@ -73,7 +84,8 @@
             self.listeners.append(
                 self._listen(front.listen, lambda sock: uwsgi.Session(self, sock, front, random))
             )
-        self.loop.spawn(self.backend.run())
+        for driver in self.drivers.values():
+            self.loop.spawn(driver.run())
         self.loop.spawn(self.reporter.run())
         self._sweep()
 
@@ -81,7 +93,14 @@
     def up(self, cold: bool, up_for: float) -> None:
         if self.broker is None:
             settings = replace(self.config.settings, cold=cold)
-            self.broker = Broker(settings, self.config.seed, self.backend, self, self.counters)
+            contracts = Contracts(self._contracts) if self._contracts is not None else None
+            self.broker = Broker(
+                settings, self.config.seed, self.backend, self, self.counters, contracts, self.drivers,
+                self._record,
+            )  # fmt: skip
+            for cls, key, age in self.store.started(ONCE_LIFE) if self.store is not None else ():
+                if cls in self.classes:
+                    self.broker.remember(self.loop.now, cls, key, age)
 
     def finished(self, handle: str, outcome: Outcome, spent: float, result: bytes) -> None:
         if self.broker is not None:
@@ -91,6 +110,11 @@
         if self.broker is not None:
             self.broker.gauges(values)
 
+    def _record(self, event: str, sub: Submission, detail: str) -> None:
+        if self.store is not None:
+            cls = self.config.settings.classes[sub.cls].name
+            self.store.record(Entry(event, sub.handle, cls, sub.key, sub.team, sub.service, detail))
+
     # ---- What the module says
     def health(self, good: bool) -> None:
         self._good = good
@@ -187,7 +211,10 @@
         finally:
             signal.set_wakeup_fd(old)
             self._close_doors()
-            self.backend.close()
+            for driver in self.drivers.values():
+                driver.close()
+            if self.store is not None:
+                self.store.close()
             self.reporter.close()
             self.log(self.counters.line())
         return 0
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -26,11 +26,13 @@
 from typing import Any
 
 from lapishaven import config
+from lapishaven.core.contracts import Contract
 from lapishaven.ends import End
 from lapishaven.net.loop import Loop
 from lapishaven.proto import uwsgi
 from lapishaven.proto.lines import Lines
 from lapishaven.server import Server
+from lapishaven.store import Sqlite
 
 CLASSES = [("fuzzy-match", 1.5, 5.6, "free", 1.0), ("approve-commit", 1.1, 3.8, "single_shot", 3.0)]
 SETTINGS: dict[str, Any] = {
@@ -145,6 +147,8 @@
 
     banner: str | None = "WARM"
     backend: config.UwsgiBackend | None = None
+    contracts: list[Contract] | None = None
+    store: Sqlite | None = None
 
     def setUp(self) -> None:
         self.now = 100.0
@@ -158,7 +162,7 @@
         self.said: list[str] = []
         self.server = Server(
             config.parse(text), front, self.backend, loop=Loop(lambda: self.now), log=self.said.append,
-            dial=self.dial,
+            dial=self.dial, contracts=self.contracts, store=self.store,
         )  # fmt: skip
         self.peers: dict[str, Peer] = {}
         self.pump()
@@ -166,7 +170,8 @@
     def tearDown(self) -> None:
         self.server._leave()
         self.server._close_doors()
-        self.server.backend.close()
+        for driver in self.server.drivers.values():
+            driver.close()
         self.server.reporter.close()
         self.server.loop.close()
         for peer in (*self.peers.values(), *self.up, *self.catalog):
@@ -252,6 +257,7 @@
             variables = {"REQUEST_METHOD": "POST", "PATH_INFO": f"/match/{what}"}
             variables |= {"HTTP_X_REQUEST_ID": options["id"]} if "id" in options else {}
             variables |= {"HTTP_X_RETRY": "1"} if "retry" in options else {}
+            variables |= {"HTTP_X_TEAM": "team", "HTTP_X_SERVICE": options["by"]} if "by" in options else {}
             return uwsgi.packet(variables, name.encode())
         params: dict[str, Any] = {}
         method, id = what, 0
--- /dev/null
+++ b/tests/test_product.py
@@ -0,0 +1,144 @@
+"""Contracts, budgets, the store of record and the command line."""
+
+from __future__ import annotations
+
+import os
+import sqlite3
+import tempfile
+import unittest
+from contextlib import closing
+from pathlib import Path
+
+from scenario import World, configuration
+from typer.testing import CliRunner
+
+from lapishaven import __version__, config
+from lapishaven.cli import app
+from lapishaven.core.contracts import Contract
+from lapishaven.store import Sqlite
+
+ROOT = Path(__file__).parent.parent
+
+
+class Brokered(World):
+    backend = config.UwsgiBackend(("127.0.0.1", 3), "/run/")
+    contracts = [
+        Contract("team", "editor", 0, 2.0, "interpreter", 1.0, 2.0),
+        Contract("team", "pipeline", 1, 3.8, "uwsgi", 10.0, 10.0),
+    ]
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path, self.dropped = f"{folder.name}/record.db", 0
+        self.store = Sqlite(self.path, self.drop)
+        super().setUp()
+        self.up_there = True
+
+    def drop(self) -> None:
+        self.dropped += 1
+
+    def test_contracts_name_routes_deadlines_and_refusals(self) -> None:
+        self.play("""
+            expect vm CONNECT 0
+            send u1 fuzzy-match                  # names no team
+            expect u1 403
+            send u2 approve-commit by=editor     # a class that its contract does not cover
+            expect u2 403
+            send u3 fuzzy-match by=editor
+            expect vm APPLY u3
+            send u4 approve-commit by=pipeline
+            expect up approve-commit u4
+            expect vm nothing
+            send up 200 u4
+            expect u4 200 u4
+            send u5 fuzzy-match by=editor
+            expect vm APPLY u5
+            send u6 fuzzy-match by=editor        # the budget of two is spent
+            expect u6 503
+            wait 1.0
+            send u7 fuzzy-match by=editor
+            expect vm APPLY u7
+            wait 1.1                             # u3 is due after the contract's 2 s, not the class's 5.6 s
+            expect u3 504
+            send c1 1 fuzzy-match                # the platform's callers come under no contract
+            expect up fuzzy-match c1.1
+        """)
+        reasons = self.server.counters.groups["reasons"]
+        self.assertEqual((reasons["no contract"], reasons["over budget"]), (2, 1))
+
+    # Guards against a commit that runs again because the process that ran it first has gone.
+    def test_a_commit_of_an_earlier_life_is_not_started_again(self) -> None:
+        self.play("""
+            send u1 approve-commit by=pipeline id=k
+            expect up approve-commit u1
+            send up 200 u1
+            expect u1 200 u1
+            send u2 approve-commit by=pipeline id=n
+            send up 503
+            expect u2 503
+        """)
+        self.tearDown()
+        self.store.close()
+        with closing(sqlite3.connect(self.path)) as base:
+            rows = base.execute("select event, class, service, detail from record").fetchall()
+        commit = "approve-commit", "pipeline"
+        self.assertEqual(rows[:2], [("started", *commit, ""), ("answered", *commit, "served")])
+        self.store = Sqlite(self.path, self.drop)
+        World.setUp(self)
+        self.up_there = True
+        self.play("""
+            send u3 approve-commit by=pipeline id=k retry=1
+            expect u3 502
+            send u4 approve-commit by=pipeline id=n retry=1
+            expect up approve-commit u4
+        """)
+        self.assertEqual(self.dropped, 0)
+
+    def tearDown(self) -> None:
+        super().tearDown()
+        self.peers, self.up = {}, []
+        if self.store is not None:
+            self.store.close()
+
+
+class CommandLine(unittest.TestCase):
+    def run_with(self, text: str, *words: str) -> tuple[int, str]:
+        with tempfile.TemporaryDirectory() as folder:
+            Path(folder, "c.json").write_text(text)
+            result = CliRunner().invoke(app, ["check-config", "--config", f"{folder}/c.json", *words])
+            return result.exit_code, result.output.replace(folder, "")
+
+    # Guards against a file of ours under deploy/ that the program does not take.
+    def test_the_project_s_own_files_pass(self) -> None:
+        files = "--uwsgi", str(ROOT / "deploy/uwsgi.toml"), "--contracts", str(ROOT / "deploy/contracts.toml")
+        code, out = self.run_with(configuration(), *files)
+        self.assertEqual(code, 0, out)
+        self.assertIn("contracts 2", out)
+        self.assertIn("3031", out)
+        self.assertIn("uwsgi front off", self.run_with(configuration())[1])
+
+    # Guards against a traceback, or a start, where an operator made a mistake in a file.
+    def test_mistakes_are_one_plain_line_and_exit_2(self) -> None:
+        cases = [
+            ("nonsense", "not JSON"),
+            (configuration(listen="here"), "listen is not HOST:PORT"),
+            (configuration(seed="xyz"), "seed is not a hex number"),
+            (configuration(settings={}), "settings: extra is not an object"),
+            (configuration(limits={"sockets": 9, "memory_mb": 192}), "limits.sockets is under 64"),
+            (configuration(stop_ms=-1), "stop_ms is not a number above 0"),
+        ]
+        for text, line in cases:
+            code, out = self.run_with(text)
+            self.assertEqual((code, out), (2, f"lapishaven: {line}\n" if "not JSON" not in line else out))
+            self.assertIn(line, out)
+        code, out = self.run_with(configuration(), "--contracts", "/nowhere")
+        self.assertEqual((code, out), (2, "lapishaven: cannot read /nowhere: No such file or directory\n"))
+
+    def test_version(self) -> None:
+        self.assertEqual(CliRunner().invoke(app, ["version"]).output, f"{__version__}\n")
+        self.assertNotIn("--uwsgi", (ROOT / "deploy/balancer.toml").read_text())  # off on the platform
+
+    def test_without_node_config(self) -> None:
+        environ = {name: value for name, value in os.environ.items() if name != "NODE_CONFIG"}
+        self.assertRaisesRegex(config.ConfigError, "NODE_CONFIG is not set", config.load, None, environ)
