Keep the steady chance where nothing is said: last and health stood still

Looked for why so few refusals ask callers not to walk on.

Wrong lines: cometdrum/controller.py _tell returned for say None before it updated steady. On this site, which sends no free value, steady stayed 0 for warm instances, so last was never set, and 1 - cold_from for cold ones, so last was always set and, by _check_health, an instance born cold that once went unhealthy never came back. The update now comes before the return.

Two tests fail without the change.

--- a/cometdrum/controller.py
+++ b/cometdrum/controller.py
@@ -367,10 +367,10 @@
 
     # ---- What is told to callers
     def _tell(self) -> None:
+        self.steady += STEADY * (self.chance - self.steady)
         if self.s.say is None:
             return
         off = self.drain_from is not None
-        self.steady += STEADY * (self.chance - self.steady)
         if self.s.say == "level":
             value = 1.0 if off else self.steady
         elif self.s.say == "weight":
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from helpers import arrival, ids, of, saturate, started
+from helpers import arrival, ids, of, poll, saturate, started
 
 from cometdrum import interface as i
 
@@ -27,3 +27,29 @@
         actions = c.handle(1.0, [i.Drain(4.0)]) + c.handle(3.5, [arrival(1)])
         self.assertEqual(ids(actions, i.Refuse), [1])
         self.assertEqual(of(actions, i.Refuse)[0].advice, 0.7)
+
+
+class NothingSaid(unittest.TestCase):
+    """A site with no free value to send: the steady chance is still needed inside."""
+
+    # Guards against a steady chance that stands still where ``say`` is None: no refusal ever asked callers
+    # not to walk on, and the retries' reads ate the cores.
+    def test_a_long_overload_asks_callers_not_to_try_elsewhere(self) -> None:
+        c, now = started(say=None), 0.0
+        for n in range(40):
+            now += 0.1
+            c.handle(now, [arrival(100 * n + k, rank=0.999, age=1.5) for k in range(8)] + [poll(1.0, 8.0)])
+        refused = of(c.handle(now, [arrival(9_999, rank=0.001)]), i.Refuse)
+        self.assertEqual([(r.reason, r.last) for r in refused], [("load", True)])
+
+    # Guards against a cold start that, once its health was bad, stays off the list for good.
+    def test_a_cold_instance_gets_well_again(self) -> None:
+        c, now = started(say=None, cold=True), 0.0
+        told = of(c.handle(0.1, [arrival(1, age=5.0), poll(1.0, 8.0)]), i.Health)
+        self.assertEqual([h.good for h in told], [False])
+        told = []
+        while not told and now < 30.0:
+            now += 0.1
+            told = of(c.handle(now + 0.1, [poll(0.3, 1.0)]), i.Health)
+        self.assertEqual([h.good for h in told], [True])
+        self.assertLess(now, 5.0)
