Drop commands that never left once nobody waits; take the accepted before the doors shut

An APPLY waiting for the next link went out though its request was forgotten meanwhile (backends/interpreter.py halt queued a BREAK behind it); now neither goes out and the module hears MOOT. Listener.close dropped connections that the kernel had accepted and that may carry requests; it takes them first. The reserve of descriptors is 96, as the uwsgi backend's attempts come out of it.

--- a/lapishaven/backends/interpreter.py
+++ b/lapishaven/backends/interpreter.py
@@ -20,6 +20,8 @@
 SMOKE_WAIT = 3.0  # s for a deep check; a caller's own check gives up sooner
 OUTCOMES = {"OK": Outcome.OK, "ERROR": Outcome.ERROR, "STOPPED": Outcome.CANCELLED, "MOOT": Outcome.MOOT}
 
+Command = tuple[str, bytes]  # whose it is, and its bytes
+
 
 class Unsent:
     """Commands that the kernel has not wholly taken, so that they provably never arrived.
@@ -29,19 +31,20 @@
     """
 
     def __init__(self) -> None:
-        self._queue: deque[tuple[int, bytes]] = deque()
+        self._queue: deque[tuple[int, Command]] = deque()
         self._end = 0
 
-    def note(self, command: bytes, again: bool = True) -> None:
+    def note(self, command: bytes, handle: str | None) -> None:
+        """A command on its way; one with no handle is worth nothing on a later link."""
         self._end += len(command)
-        if again:
-            self._queue.append((self._end, command))
+        if handle is not None:
+            self._queue.append((self._end, (handle, command)))
 
     def taken(self, sent: int) -> None:
         while self._queue and self._queue[0][0] <= sent:
             self._queue.popleft()
 
-    def rest(self, sent: int) -> list[bytes]:
+    def rest(self, sent: int) -> list[Command]:
         """What is left at the link's end; the book starts anew."""
         self.taken(sent)
         left = [command for _, command in self._queue]
@@ -69,26 +72,30 @@
         self._conn: Conn | None = None
         self._last = 0  # number of the last notice read
         self._unsent = Unsent()
-        self._waiting: list[bytes] = []  # commands for the next link
+        self._waiting: list[Command] = []  # for the next link
         self._tags = 0
         self._smokes: dict[str, Callable[[bool], None]] = {}
         self._stopped = False
 
     # ---- Commands
     def start(self, handle: str, cls: str, body: bytes) -> None:
-        self._command(proto.apply(handle, cls, body))
+        self._command(proto.apply(handle, cls, body), handle)
 
     def halt(self, handle: str) -> None:
-        self._command(proto.pause(handle))
+        unsent = [command for command in self._waiting if command[0] == handle]
+        if unsent and unsent[0][1].startswith(b"APPLY"):
+            # It never left, so there is nothing to stop.
+            self._waiting = [command for command in self._waiting if command[0] != handle]
+            self.loop.at(self.loop.now, lambda: self.listener.finished(handle, Outcome.MOOT, 0.0, b""))
+        else:
+            self._command(proto.pause(handle), handle)
 
     def resume(self, handle: str) -> None:
-        self._command(proto.resume(handle))
+        self._command(proto.resume(handle), handle)
 
     def gauges(self) -> None:
-        # Worth nothing on a later link, so it is not kept for one.
-        if self.ready:
-            self._tags += 1
-            self._command(proto.top(f"t{self._tags}"), again=False)
+        self._tags += 1
+        self._command(proto.top(f"t{self._tags}"), None)
 
     def smoke(self, told: Callable[[bool], None]) -> None:
         """A deep health check; ``told`` is called once."""
@@ -97,17 +104,17 @@
         self._smokes[tag] = told
         self.loop.at(self.loop.now + SMOKE_WAIT, lambda: self._smoked(tag, False))
         if self.ready:
-            self._command(proto.smoke(tag), again=False)
+            self._command(proto.smoke(tag), None)
         else:
             self._smoked(tag, False)
 
-    def _command(self, command: bytes, again: bool = True) -> None:
+    def _command(self, command: bytes, handle: str | None) -> None:
         if self.ready and self._conn is not None:
             self._unsent.taken(self._conn.sent)
-            self._unsent.note(command, again)
+            self._unsent.note(command, handle)
             self._conn.write(command)
-        elif again:
-            self._waiting.append(command)
+        elif handle is not None:
+            self._waiting.append((handle, command))
 
     def _smoked(self, tag: str, good: bool) -> None:
         told = self._smokes.pop(tag, None)
@@ -125,7 +132,7 @@
             else:
                 self._conn = conn = Conn(self.loop, sock, self._ended)
                 hello = proto.connect(self._last)
-                self._unsent.note(hello, again=False)
+                self._unsent.note(hello, None)
                 conn.write(hello)
                 before = self._last
                 yield from self._read(conn)
@@ -176,8 +183,8 @@
             self.ready = True
             self.listener.up(message.cold, message.up_for)
             waiting, self._waiting = self._waiting, []
-            for command in waiting:
-                self._command(command)
+            for handle, command in waiting:
+                self._command(command, handle)
 
     def close(self) -> None:
         self._stopped = True
--- a/lapishaven/net/listener.py
+++ b/lapishaven/net/listener.py
@@ -68,7 +68,9 @@
         self._accepted(sock)
 
     def close(self) -> None:
+        """Take what the kernel has accepted already, as it may carry requests, then shut the door."""
         if self.sock is not None:
+            self._ready(0)
             self.loop.unwatch(self.sock.fileno())
             self.sock.close()
             self.sock = None
--- a/lapishaven/server.py
+++ b/lapishaven/server.py
@@ -28,7 +28,7 @@
 from lapishaven.net.loop import Loop
 from lapishaven.store import Entry, Store
 
-RESERVE = 48  # descriptors for the program itself: standard streams, epoll, links, files
+RESERVE = 96  # descriptors for the program itself: streams, epoll, links, attempts of the uwsgi backend
 SWEEP = 0.05  # s between looks for idle connections
 LEAVE_ROOM = 0.15  # s before the kill at which the program ends by itself
 SEED_MARK = 0x7577736769  # sets the front's random numbers apart from the module's
@@ -55,7 +55,7 @@
         self.broker: Broker | None = None
         self.draining = False
         self.sessions: dict[Session, None] = {}
-        self.budget = Budget(config.descriptors, RESERVE)
+        self.budget = Budget(config.descriptors, min(RESERVE, config.descriptors // 4))
         self.classes = {spec.name: n for n, spec in enumerate(config.settings.classes)}
         self.store, self._contracts = store, contracts
         self.drivers: dict[str, Driver] = {}
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -5,6 +5,7 @@
 from scenario import World
 
 from lapishaven import config
+from lapishaven.backends.interpreter import Unsent
 
 
 class Platform(World):
@@ -99,6 +100,30 @@
             expect vm nothing
         """)
 
+    # Guards against a run that nobody waits for: its command had not left when its caller gave up.
+    def test_what_never_left_is_not_sent_once_it_is_forgotten(self) -> None:
+        self.play("""
+            expect vm CONNECT 0
+            close vm
+            send c1 1 approve-commit
+            send c1 2 approve-commit
+            send c1 forget 1
+            wait 0.1
+            expect vm CONNECT 0
+            expect vm APPLY c1.2
+            expect vm nothing
+        """)
+        self.assertEqual(len(self.server.broker.requests), 1)
+
+    # Guards against a second run after a break in mid-command: what the kernel took whole may have run.
+    def test_a_command_counts_as_sent_with_its_last_byte(self) -> None:
+        unsent = Unsent()
+        unsent.note(b"CONNECT 0\r\n", None)
+        for handle in "abc":
+            unsent.note(b"APPLY " + handle.encode() + b" x 0\r\n\r\n", handle)
+        self.assertEqual([handle for handle, _ in unsent.rest(11 + 15 + 14)], ["b", "c"])
+        self.assertEqual(unsent.rest(1000), [])
+
     # Guards against work begun after the leave, and against a caller left without the notice.
     def test_drain_answers_what_was_read_and_runs_nothing_late(self) -> None:
         self.play("""
