Keep the first request of a name when a second one comes; count bytes in and out

Read through the platform's front: a second request with the call of an open one took over its place in Session._calls and, when it was failed, removed it, so a later forget of the first found nothing. The first now keeps it.

--- a/lapishaven/fronts/platform.py
+++ b/lapishaven/fronts/platform.py
@@ -80,7 +80,7 @@
             self.conn.write(jsonrpc.error(m.id, jsonrpc.REFUSED, "not up yet", 1.0))
             return
         self.open[m.id] = None
-        self._calls[m.call] = m.id
+        self._calls.setdefault(m.call, m.id)  # of two the second is failed
         # A clock that is behind the caller's gives a negative age; the core clamps it.
         age = time.time() - m.recv if m.recv is not None else 0.0
         sub = Submission(
@@ -97,7 +97,8 @@
             self.host.broker.gone(request)
 
     def _answer(self, m: jsonrpc.Serve, answer: Answer) -> None:
-        self._calls.pop(m.call, None)
+        if self._calls.get(m.call) == m.id:
+            del self._calls[m.call]
         if answer.kind is Kind.SERVED:
             line = jsonrpc.result(m.id, answer.body)
         elif answer.kind is Kind.REFUSED:
--- a/lapishaven/net/conn.py
+++ b/lapishaven/net/conn.py
@@ -65,6 +65,7 @@
                 return self.close(End.RESET)
             if not got:
                 return self.close(self._closing or End.PEER_CLOSED)
+            self.loop.received += got
             self.active = self.loop.now
             if self._reader is not None:
                 self._reader.wake()
@@ -99,6 +100,7 @@
             while self.end is None and self.out.size:
                 count = self.out.send(self.sock)
                 self.sent += count
+                self.loop.sent += count
                 self.loop.unsent -= count
         except BlockingIOError:
             pass
--- a/lapishaven/net/loop.py
+++ b/lapishaven/net/loop.py
@@ -47,6 +47,7 @@
         self._order = count()
         self._after: dict[Callable[[], None], None] = {}
         self._stopped = False
+        self.received = self.sent = 0  # bytes of all connections so far
         self.unsent = 0  # bytes that all connections have queued and not yet sent
 
     # ---- Descriptors
--- a/lapishaven/server.py
+++ b/lapishaven/server.py
@@ -7,6 +7,7 @@
 import socket
 import sys
 import time
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
 from random import Random
@@ -216,13 +217,18 @@
             if self.store is not None:
                 self.store.close()
             self.reporter.close()
-            self.log(self.counters.line())
+            self.tell_counters()
         return 0
 
+    def tell_counters(self) -> None:
+        """Log all counters, with the bytes that went through so far."""
+        self.counters.groups["bytes"] = Counter(received=self.loop.received, sent=self.loop.sent)
+        self.log(self.counters.line())
+
     def _signals(self, numbers: bytes) -> None:
         for number in numbers:
             self.log(f"signal {number} at {time.time():.3f}")
             if number == signal.SIGUSR1:
-                self.log(self.counters.line())
+                self.tell_counters()
             else:
                 self.drain()
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -168,6 +168,24 @@
             expect c1 closed
         """)
 
+    # Guards against losing the first request of a name when a second one comes: it can still be forgotten.
+    def test_a_name_in_use_is_failed_and_the_first_goes_on(self) -> None:
+        self.play("""
+            expect vm CONNECT 0
+            send c1 1 fuzzy-match
+            expect vm APPLY c1.1
+        """)
+        again = self.message("c1", "1", "fuzzy-match").replace(b'"id": 1', b'"id": 2')
+        self.peer("c1").sock.sendall(again)
+        self.play("""
+            expect c1 failed 2
+            send c1 forget 1
+            expect vm BREAK c1.1
+        """)
+        self.server.tell_counters()
+        self.assertIn('"answers": {"failed": 1}', self.said[-1])
+        self.assertRegex(self.said[-1], r'"bytes": {"received": \d{3}, "sent": \d{2,3}}')
+
     def test_checks_are_answered_from_the_module_and_deep_ones_by_the_interpreter(self) -> None:
         self.play("""
             send c1 check
