Reload on SIGHUP, and settle on the next link what a break may have lost

By reading: after a break backends/interpreter.py (Unsent) sent again only what the kernel had not taken; a command the break took along left a run in the request table for up to 60 s past its due time, holding its caller and a place of the running limit. Remarks' numbers were let stand for ends of runs.

Now SIGHUP reads the files again and moves the links, the old one fenced first; commands are in doubt until a TOPS proves them read, and are settled behind the next BANNER: safe ones sent again, commits only stopped and taken up, never sent twice.

--- a/lapishaven/backends/interpreter.py
+++ b/lapishaven/backends/interpreter.py
@@ -1,15 +1,21 @@
-"""The interpreter behind its link, which is held open and made anew when it breaks."""
+"""The interpreter behind its link, which is held open, made anew when it breaks, and moved on a reload.
+
+A break may take the last commands along, so what was sent stays in doubt until a ``TOPS`` proves that it was
+read. After the next ``BANNER`` a ``TOP`` fences the notices that follow it; what is still in doubt behind the
+fence either runs or never arrived, and is settled there.
+"""
 
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Generator
+from collections.abc import Callable, Generator, Iterable
+from dataclasses import dataclass
 from typing import Any
 
 from cometdrum.interface import Outcome
 from lapishaven.backends import Listener
 from lapishaven.counters import Counters
-from lapishaven.ends import End
+from lapishaven.ends import End, outcome_of
 from lapishaven.net.conn import Conn, Dial, connect
 from lapishaven.net.loop import Loop, Wait
 from lapishaven.proto import ProtocolError
@@ -18,39 +24,56 @@
 DIAL = 1.0  # s for a connection to come about
 AGAIN = (0.02, 0.05, 0.1, 0.25)  # s between tries; the last one stays
 SMOKE_WAIT = 3.0  # s for a deep check; a caller's own check gives up sooner
+LOST = 0.1  # s before a break in which a command may be lost even if a later one was answered
+HANDOVER = 0.25  # s for the old link's last answer when the interpreter moves
+PROBE = 0.1  # s for a run to say that it was stopped, after which it counts as never begun
 OUTCOMES = {"OK": Outcome.OK, "ERROR": Outcome.ERROR, "STOPPED": Outcome.CANCELLED, "MOOT": Outcome.MOOT}
 
-Command = tuple[str, bytes]  # whose it is, and its bytes
 
+@dataclass(slots=True)
+class Command:
+    """A command for a run."""
+
+    handle: str
+    data: bytes
+    starts: bool = False
+    once: bool = False  # starts what must not be started twice
+    end: int = 0  # where it ends in the link's bytes
+    at: float = 0.0  # when it was written
 
-class Unsent:
-    """Commands that the kernel has not wholly taken, so that they provably never arrived.
 
-    A command counts for the interpreter once its last byte came, so one of which any byte is still here did
-    not run. Once the kernel has taken all of it, it may have run, and is not sent again.
-    """
+class Ledger:
+    """Commands on one link of which it is not proved that the interpreter read them."""
 
     def __init__(self) -> None:
-        self._queue: deque[tuple[int, Command]] = deque()
-        self._end = 0
+        self._queue: deque[Command] = deque()
+        self._marks: dict[str, int] = {}  # where the commands end that an answer to this tag proves read
+        self._end = self._proved = 0
+
+    def note(self, now: float, command: Command) -> None:
+        self._end += len(command.data)
+        command.end, command.at = self._end, now
+        self._queue.append(command)
 
-    def note(self, command: bytes, handle: str | None) -> None:
-        """A command on its way; one with no handle is worth nothing on a later link."""
-        self._end += len(command)
-        if handle is not None:
-            self._queue.append((self._end, (handle, command)))
+    def mark(self, tag: str, size: int) -> None:
+        """A question on its way; its answer proves that all before it was read."""
+        self._end += size
+        self._marks[tag] = self._end
 
-    def taken(self, sent: int) -> None:
-        while self._queue and self._queue[0][0] <= sent:
+    def answered(self, now: float, tag: str) -> None:
+        self._proved = max(self._proved, self._marks.get(tag, 0))
+        self._marks = {tag: end for tag, end in self._marks.items() if end > self._proved}
+        while self._queue and self._queue[0].end <= self._proved and self._queue[0].at < now - LOST:
             self._queue.popleft()
 
-    def rest(self, sent: int) -> list[Command]:
-        """What is left at the link's end; the book starts anew."""
-        self.taken(sent)
-        left = [command for _, command in self._queue]
+    def settle(self, sent: int) -> tuple[list[Command], list[Command]]:
+        """At the link's end: what the kernel never wholly took, so never ran, and what is in doubt."""
+        unsent = [command for command in self._queue if command.end > sent]
+        doubtful = [command for command in self._queue if command.end <= sent]
         self._queue.clear()
-        self._end = 0
-        return left
+        self._marks.clear()
+        self._end = self._proved = 0
+        return unsent, doubtful
 
 
 class Interpreter:
@@ -70,51 +93,78 @@
         self.listener, self.counters = listener, counters
         self.ready = False
         self._conn: Conn | None = None
-        self._last = 0  # number of the last notice read
-        self._unsent = Unsent()
+        self._last = 0  # number of the last end of a run that was read
+        self._ledger = Ledger()
         self._waiting: list[Command] = []  # for the next link
+        self._running: set[str] = set()  # started, and no end was told
+        self._doubt: list[Command] = []  # from links that broke, to be settled behind the fence
+        self._probes: dict[str, bool] = {}  # runs stopped to see whether they run, and whether to go on
+        self._fences: dict[str, Callable[[], None]] = {}
         self._tags = 0
+        self._asked = False
         self._smokes: dict[str, Callable[[bool], None]] = {}
-        self._stopped = False
+        self._pause: Wait | None = None
+        self._moving = self._stopped = False
 
     # ---- Commands
-    def start(self, handle: str, cls: str, body: bytes) -> None:
-        self._command(proto.apply(handle, cls, body), handle)
+    def start(self, handle: str, cls: str, body: bytes, once: bool) -> None:
+        self._running.add(handle)
+        self._command(Command(handle, proto.apply(handle, cls, body), True, once))
 
     def halt(self, handle: str) -> None:
-        unsent = [command for command in self._waiting if command[0] == handle]
-        if unsent and unsent[0][1].startswith(b"APPLY"):
+        stop = Command(handle, proto.pause(handle))
+        if any(command.handle == handle and command.starts for command in self._waiting):
             # It never left, so there is nothing to stop.
-            self._waiting = [command for command in self._waiting if command[0] != handle]
+            self._waiting = [command for command in self._waiting if command.handle != handle]
+            self._over(handle)
             self.loop.at(self.loop.now, lambda: self.listener.finished(handle, Outcome.MOOT, 0.0, b""))
+        elif handle in self._probes:
+            self._probes[handle] = False
+        elif any(command.handle == handle for command in self._doubt):
+            self._doubt.append(stop)
         else:
-            self._command(proto.pause(handle), handle)
+            self._command(stop)
 
     def resume(self, handle: str) -> None:
-        self._command(proto.resume(handle), handle)
+        self._running.add(handle)
+        self._command(Command(handle, proto.resume(handle)))
 
     def gauges(self) -> None:
-        self._tags += 1
-        self._command(proto.top(f"t{self._tags}"), None)
+        self._asked = True
+        if self.ready and not self._moving:
+            self._fence(None)
 
     def smoke(self, told: Callable[[bool], None]) -> None:
-        """A deep health check; ``told`` is called once."""
+        """A deep health check; ``told`` is called once. One that meets a break is sent on the next link."""
         self._tags += 1
         tag = f"s{self._tags}"
         self._smokes[tag] = told
         self.loop.at(self.loop.now + SMOKE_WAIT, lambda: self._smoked(tag, False))
-        if self.ready:
-            self._command(proto.smoke(tag), None)
+        self._ask(tag)
+
+    def _ask(self, tag: str) -> None:
+        if self.ready and not self._moving and self._conn is not None:
+            question = proto.smoke(tag)
+            self._ledger.mark(tag, len(question))
+            self._conn.write(question)
+
+    def _command(self, command: Command) -> None:
+        if self.ready and not self._moving and self._conn is not None:
+            self._ledger.note(self.loop.now, command)
+            self._conn.write(command.data)
         else:
-            self._smoked(tag, False)
+            self._waiting.append(command)
 
-    def _command(self, command: bytes, handle: str | None) -> None:
-        if self.ready and self._conn is not None:
-            self._unsent.taken(self._conn.sent)
-            self._unsent.note(command, handle)
-            self._conn.write(command)
-        elif handle is not None:
-            self._waiting.append((handle, command))
+    def _fence(self, then: Callable[[], None] | None) -> None:
+        """Ask for the gauges; ``then`` is called once all that was sent before is proved read."""
+        assert self._conn is not None
+        self._tags += 1
+        tag = f"t{self._tags}"
+        question = proto.top(tag)
+        self._ledger.mark(tag, len(question))
+        self._conn.write(question)
+        if then is not None:
+            self._fences[tag] = then
 
     def _smoked(self, tag: str, good: bool) -> None:
         told = self._smokes.pop(tag, None)
@@ -126,19 +176,28 @@
         """Hold the link: dial, read until it ends, dial again."""
         failures = 0
         while not self._stopped:
-            sock = yield from self._dial(self.loop, self.address, DIAL)
+            address = self.address
+            sock = yield from self._dial(self.loop, address, DIAL)
             if isinstance(sock, End):
                 self.counters.add("interpreter", sock.value)
+            elif self._stopped:
+                sock.close()
+                return
             else:
                 self._conn = conn = Conn(self.loop, sock, self._ended)
                 hello = proto.connect(self._last)
-                self._unsent.note(hello, None)
+                self._ledger.mark("", len(hello))
                 conn.write(hello)
                 before = self._last
                 yield from self._read(conn)
                 failures = 0 if self._last > before else failures
-            yield Wait(AGAIN[min(failures, len(AGAIN) - 1)])
-            failures += 1
+            if self.address == address:
+                self._pause = Wait(AGAIN[min(failures, len(AGAIN) - 1)])
+                yield self._pause
+                self._pause = None
+                failures += 1
+            else:
+                failures = 0
 
     def _read(self, conn: Conn) -> Generator[Wait, Any, None]:
         machine = proto.Client()
@@ -153,37 +212,113 @@
                 conn.close(End.PROTOCOL_ERROR)
                 return
 
+    def move(self, address: tuple[str, int]) -> None:
+        """From now on the interpreter is there; the link goes over without a command in doubt if it can."""
+        if address == self.address:
+            return
+        self.address = address
+        conn = self._conn
+        if conn is not None and conn.end is None:
+            if self.ready and not self._moving:
+                self._moving = True
+                self._fence(lambda: conn.close(End.MOVED))
+                self.loop.at(self.loop.now + HANDOVER, lambda: conn.close(End.MOVED))
+            elif not self.ready:
+                conn.close(End.MOVED)
+        elif self._pause is not None:
+            self._pause.wake()
+
     def _ended(self, end: End) -> None:
         assert self._conn is not None
         self.counters.add("ends", f"interpreter {end.value}")
-        self._waiting = self._unsent.rest(self._conn.sent) + self._waiting
-        self.ready = False
-        for tag in list(self._smokes):
-            self._smoked(tag, False)
+        unsent, doubtful = self._ledger.settle(self._conn.sent)
+        self._waiting = unsent + self._waiting
+        doubtful = [command for command in doubtful if command.handle in self._running]
+        self._doubt += doubtful
+        self.counters.add("interpreter", "commands in doubt", len(doubtful))
+        self.ready = self._moving = False
+        self._fences.clear()
+        self._probed(self._probes)
+
+    # ---- What is in doubt
+    def _settle(self) -> None:
+        """All ends up to here are read: what is in doubt still runs, or never arrived."""
+        doubt, self._doubt = self._doubt, []
+        for command in doubt:
+            if command.once:
+                # Never sent twice, as it might end in between and run again. Stopping tells whether it runs.
+                self._probes[command.handle] = True
+                self._command(Command(command.handle, proto.pause(command.handle)))
+            elif command.handle in self._probes:
+                self._probes[command.handle] = False  # its caller is gone, so it is not taken up again
+            else:
+                # Where it runs already, nothing happens; where its request is over, it is told to be moot.
+                self.counters.add("interpreter", "commands sent again")
+                self._command(command)
+        if self._probes:
+            probes = list(self._probes)
+            self.loop.at(self.loop.now + PROBE, lambda: self._look(probes))
+
+    def _look(self, probes: list[str]) -> None:
+        if self.ready and not self._moving:
+            self._fence(lambda: self._probed(probes))
 
+    def _probed(self, probes: Iterable[str]) -> None:
+        """None of these said that it was stopped, so it does not run, though that is no full proof."""
+        for handle in list(probes):
+            if self._probes.pop(handle, None) is not None:
+                self.counters.add("interpreter", "runs given up")
+                self._over(handle)
+                self.listener.finished(handle, outcome_of(End.RESET), 0.0, b"")
+
+    # ---- Notices
     def _told(self, message: proto.Message) -> None:
-        if isinstance(message, proto.Value | proto.Trace):
+        if isinstance(message, proto.Value):
+            # Remarks have numbers too, but none is let stand for the end of a run.
             if message.number <= self._last:
                 self.counters.add("interpreter", "notices seen before")
                 return
             self._last = message.number
-        if isinstance(message, proto.Value):
-            outcome = OUTCOMES.get(message.end, Outcome.ERROR)
-            self.listener.finished(message.handle, outcome, message.spent, message.result)
+            self._value(message)
         elif isinstance(message, proto.Tops):
+            self._ledger.answered(self.loop.now, message.tag)
+            self._asked = False
             self.listener.gauges(dict(zip(self.names, message.values, strict=False)))
+            then = self._fences.pop(message.tag, None)
+            if then is not None:
+                then()
         elif isinstance(message, proto.Smoked):
             self._smoked(message.tag, message.good)
         elif isinstance(message, proto.Rejected):
             self.counters.add("interpreter", f"rejected {message.command}")
             if message.command == "APPLY":
+                self._over(message.handle)
                 self.listener.finished(message.handle, Outcome.MOOT, 0.0, b"")
         elif isinstance(message, proto.Banner):
             self.ready = True
             self.listener.up(message.cold, message.up_for)
             waiting, self._waiting = self._waiting, []
-            for handle, command in waiting:
-                self._command(command, handle)
+            for command in waiting:
+                self._command(command)
+            for tag in self._smokes:
+                self._ask(tag)
+            if self._doubt:
+                self._fence(self._settle)
+            elif self._asked:
+                self._fence(None)
+
+    def _value(self, message: proto.Value) -> None:
+        outcome = OUTCOMES.get(message.end, Outcome.ERROR)
+        if outcome is Outcome.CANCELLED and self._probes.pop(message.handle, False):
+            return self.resume(message.handle)
+        self._over(message.handle)
+        self.listener.finished(message.handle, outcome, message.spent, message.result)
+
+    def _over(self, handle: str) -> None:
+        self._running.discard(handle)
+        self._probes.pop(handle, None)
+        if self._doubt:
+            self._doubt = [command for command in self._doubt if command.handle != handle]
 
     def close(self) -> None:
         self._stopped = True
--- a/lapishaven/backends/uwsgi.py
+++ b/lapishaven/backends/uwsgi.py
@@ -45,7 +45,11 @@
         yield
 
     # ---- Commands
-    def start(self, handle: str, cls: str, body: bytes) -> None:
+    def move(self, address: tuple[str, int]) -> None:
+        """New attempts go there; those under way have connections of their own and go on."""
+        self.address = address
+
+    def start(self, handle: str, cls: str, body: bytes, once: bool) -> None:
         self._running[handle] = None
         self.loop.spawn(self._attempt(handle, cls, body))
 
--- a/lapishaven/catalog.py
+++ b/lapishaven/catalog.py
@@ -36,6 +36,16 @@
         if changed and self._pause is not None:
             self._pause.wake()
 
+    def move(self, address: tuple[str, int]) -> None:
+        """From now on the catalog is there; the next report goes there at once."""
+        if address == self.address:
+            return
+        self.address = address
+        if self._conn is not None:
+            self._conn.close(End.MOVED)
+        if self._pause is not None:
+            self._pause.wake()
+
     def run(self) -> Generator[Wait, Any, None]:
         http: proto.Client | None = None
         while not self._stopped:
--- a/lapishaven/cli.py
+++ b/lapishaven/cli.py
@@ -31,27 +31,20 @@
     raise typer.Exit(2)
 
 
-class Loaded:
-    """All files that a command names, checked."""
-
-    def __init__(self, path: str | None, uwsgi: str | None, terms: str | None) -> None:
-        try:
-            self.config = config.load(path)
-            self.front, self.backend = config.uwsgi(uwsgi) if uwsgi else (None, None)
-            routes = {"interpreter"} | ({"uwsgi"} if self.backend else set())
-            settings = self.config.settings
-            self.contracts = config.contracts(terms, settings, routes) if terms else None
-        except config.ConfigError as error:
-            _fail(str(error))
+def _load(path: str | None, uwsgi: str | None, terms: str | None) -> config.Files:
+    try:
+        return config.load_all(path, uwsgi, terms)
+    except config.ConfigError as error:
+        _fail(str(error))
 
 
 @app.command()
 def serve(path: File = None, uwsgi: Uwsgi = None, contracts: Terms = None, record: Record = None) -> None:
-    """Serve until SIGTERM; SIGUSR1 prints the counters."""
+    """Serve until SIGTERM; SIGHUP reads the files again, SIGUSR1 prints the counters."""
     from lapishaven.counters import Counters
     from lapishaven.server import Server
 
-    loaded, counters, store = Loaded(path, uwsgi, contracts), Counters(), None
+    loaded, counters, store = _load(path, uwsgi, contracts), Counters(), None
     if record is not None:
         import sqlite3
 
@@ -64,7 +57,7 @@
     try:
         server = Server(
             loaded.config, loaded.front, loaded.backend, contracts=loaded.contracts, store=store,
-            counters=counters,
+            counters=counters, files=lambda: config.load_all(path, uwsgi, contracts),
         )  # fmt: skip
     except OSError as error:
         _fail(f"cannot listen: {error.strerror}")
@@ -74,7 +67,7 @@
 @app.command("check-config")
 def check_config(path: File = None, uwsgi: Uwsgi = None, contracts: Terms = None) -> None:
     """Check the files and say what they hold."""
-    loaded = Loaded(path, uwsgi, contracts)
+    loaded = _load(path, uwsgi, contracts)
     name, (host, port), specs = loaded.config.name, loaded.config.listen, loaded.config.settings.classes
     print(f"{name}: listens on {host}:{port}")
     print("classes " + ", ".join(f"{c.name} ({c.effect.value}, {c.deadline:g} s)" for c in specs))
--- a/lapishaven/config.py
+++ b/lapishaven/config.py
@@ -113,6 +113,24 @@
     return parse(text)
 
 
+@dataclass(frozen=True, slots=True)
+class Files:
+    """All that the files of one start, or one reload, hold."""
+
+    config: Config
+    front: UwsgiFront | None = None
+    backend: UwsgiBackend | None = None
+    contracts: list[Contract] | None = None
+
+
+def load_all(path: str | None = None, uwsgi_file: str | None = None, terms: str | None = None) -> Files:
+    """Every file that a command names, checked against the others."""
+    config = load(path)
+    front, backend = uwsgi(uwsgi_file) if uwsgi_file else (None, None)
+    routes = {"interpreter"} | ({"uwsgi"} if backend else set())
+    return Files(config, front, backend, contracts(terms, config.settings, routes) if terms else None)
+
+
 def _toml(path: str) -> dict[str, Any]:
     try:
         return tomllib.loads(Path(path).read_text())
--- a/lapishaven/core/broker.py
+++ b/lapishaven/core/broker.py
@@ -148,6 +148,12 @@
             self._events.append(i.Poll(mark, *told))
         self._polls.clear()
 
+    def renew(self, contracts: Contracts | None) -> None:
+        """A reload's contracts; budgets go on where the party is the same."""
+        if self.contracts is not None and contracts is not None:
+            contracts.inherit(self.contracts)
+            self.contracts = contracts
+
     # ---- Drain
     def drain(self, now: float, kill_at: float) -> None:
         if self.draining is not None:
@@ -257,7 +263,7 @@
         heappush(self._orphans, (r.due + ORPHAN, r.id))
         self.counters.add("attempts", "started")
         self._record("started", sub, "")
-        r.backend.start(sub.handle, spec.name, sub.body)
+        r.backend.start(sub.handle, spec.name, sub.body, spec.effect is not i.Effect.SAFE)
 
     @staticmethod
     def _names(r: Request) -> tuple[str | tuple[int, str], ...]:
--- a/lapishaven/core/contracts.py
+++ b/lapishaven/core/contracts.py
@@ -35,6 +35,10 @@
         self._book = {(c.team, c.service, c.cls): c for c in contracts}
         self._budget: dict[Party, tuple[float, float]] = {}  # when, and what was left then
 
+    def inherit(self, old: Contracts) -> None:
+        """Take over what is left of the budgets, so that a reload is no refill."""
+        self._budget = {party: left for party, left in old._budget.items() if party in self._book}
+
     def admit(self, now: float, party: Party) -> Contract | Denied:
         """The contract that covers a request, whose budget is then charged with it."""
         contract = self._book.get(party)
--- a/lapishaven/ends.py
+++ b/lapishaven/ends.py
@@ -22,6 +22,7 @@
     FINISHED = "finished"
     ABANDONED = "abandoned"
     SHUTDOWN = "shutdown"
+    MOVED = "moved"  # the other side has a new address
 
 
 # What the end of a backend's connection proves about the attempt that it carried. Only UNREACHED proves
@@ -39,6 +40,7 @@
     End.FINISHED: Outcome.OK,
     End.ABANDONED: Outcome.CANCELLED,
     End.SHUTDOWN: Outcome.CANCELLED,
+    End.MOVED: Outcome.RESET,
 }
 
 
--- a/lapishaven/server.py
+++ b/lapishaven/server.py
@@ -18,7 +18,7 @@
 from lapishaven.backends.interpreter import Interpreter
 from lapishaven.backends.uwsgi import Uwsgi
 from lapishaven.catalog import Reporter
-from lapishaven.config import Config, UwsgiBackend, UwsgiFront
+from lapishaven.config import Config, ConfigError, Files, UwsgiBackend, UwsgiFront
 from lapishaven.core import Submission
 from lapishaven.core.broker import ONCE_LIFE, Broker
 from lapishaven.core.contracts import Contract, Contracts
@@ -50,6 +50,7 @@
         contracts: list[Contract] | None = None,
         store: Store | None = None,
         counters: Counters | None = None,
+        files: Callable[[], Files] | None = None,
     ) -> None:
         self.config, self.loop = config, loop or Loop()
         self.log = log or (lambda text: print(text, file=sys.stderr, flush=True))
@@ -59,7 +60,7 @@
         self.sessions: dict[Session, None] = {}
         self.budget = Budget(config.descriptors, min(RESERVE, config.descriptors // 4))
         self.classes = {spec.name: n for n, spec in enumerate(config.settings.classes)}
-        self.store, self._contracts = store, contracts
+        self.store, self._contracts, self._files = store, contracts, files
         self.drivers: dict[str, Driver] = {}
         if backend is not None:
             spans = {spec.name: spec.deadline for spec in config.settings.classes}
@@ -164,6 +165,39 @@
                 session.conn.close(End.IDLE)
         self.loop.at(self.loop.now + SWEEP, self._sweep)
 
+    # ---- Reloading
+    def reload(self) -> None:
+        """Read the files again. What is open, runs or is connected goes on; a bad file changes nothing."""
+        try:
+            if self._files is None:
+                raise ConfigError("no file to read again")
+            files = self._files()
+            if any(c.route not in self.drivers for c in files.contracts or []):
+                raise ConfigError("a contract names a backend that is not there before a restart")
+        except ConfigError as error:
+            self.counters.add("reloads", "failed")
+            self.log(f"reload: {error}; the old configuration stays")
+            return
+        self.counters.add("reloads", "done")
+        new, old = files.config, self.config
+        moves = {"interpreter": new.interpreter}
+        if files.backend is not None:
+            moves["uwsgi"] = files.backend.address
+        for name, driver in self.drivers.items():
+            if name in moves:
+                driver.move(moves[name])
+        self.reporter.move(new.catalog)
+        if files.contracts is not None and self._contracts is not None:
+            self._contracts = files.contracts
+            if self.broker is not None:
+                self.broker.renew(Contracts(files.contracts))
+        self.config = replace(
+            old, interpreter=new.interpreter, catalog=new.catalog, stop_span=new.stop_span
+        )
+        kept = [n for n in ("name", "listen", "descriptors", "memory_mb", "settings")
+                if getattr(new, n) != getattr(old, n)]  # fmt: skip
+        self.log("reload: done" + (f"; only a restart changes {', '.join(kept)}" if kept else ""))
+
     # ---- Leaving
     def drain(self) -> None:
         """The notice to leave came."""
@@ -203,7 +237,7 @@
         for end in (wakeup, poke):
             end.setblocking(False)
         old = signal.set_wakeup_fd(poke.fileno(), warn_on_full_buffer=False)
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1):
             signal.signal(number, lambda *_: None)  # told through the descriptor
         self.loop.watch(wakeup.fileno(), 1, lambda mask: self._signals(wakeup.recv(64)))
         doors = " and ".join("{}:{}".format(*listener.address) for listener in self.listeners)
@@ -234,5 +268,7 @@
             self.log(f"signal {number} at {time.time():.3f}")
             if number == signal.SIGUSR1:
                 self.tell_counters()
+            elif number == signal.SIGHUP:
+                self.reload()
             else:
                 self.drain()
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -11,6 +11,8 @@
     send vm OK c1.3               the run of c1.3 ended    send vm BANNER COLD          send server TERM
     expect vm APPLY c1.3          expect vm nothing        expect c1 result 3 | refused 3 | failed 3
     expect u1 200                 expect c1 closed         close c1          wait 0.5
+    send server HUP               the files in ``files`` are read again       lose vm 2
+    (the link takes so many commands and gives them to nobody, as one that is about to break may)
 """
 
 from __future__ import annotations
@@ -92,7 +94,7 @@
         self.log: list[str] = []
         self.handles: dict[str, str] = {}  # label -> handle, from the bodies
         self.applied: list[str] = []
-        self.number, self.load = 0, (0.3, 1.0)
+        self.number, self.load, self.lost = 0, (0.3, 1.0), 0
         self._pending = ""
 
     def dialled(self) -> socket.socket:
@@ -112,6 +114,9 @@
                 body = self.lines.block(int(size) + 2)
                 if body is None:
                     return fresh
+                if self.lost:
+                    self.lost, self._pending = self.lost - 1, ""
+                    continue
                 label = body[:-2].decode()
                 self._pending, self.handles[label] = "", handle
                 self.applied.append(label)
@@ -122,6 +127,8 @@
             word, _, rest = line.decode().partition(" ")
             if word == "APPLY":
                 self._pending = line.decode()
+            elif self.lost:
+                self.lost -= word != "TOP"
             elif word == "TOP":
                 self.tell(f"TOPS {rest} {self.load[0]} {self.load[1]} 0.1 3")
             elif word == "SMOKE":
@@ -156,13 +163,16 @@
         self.catalog: list[Peer] = []
         self.catalog_up = self.up_there = False
         self.up: list[Peer] = []
+        self.dialled: list[int] = []
         self.vm.banner = self.banner
         text = configuration(vm="127.0.0.1:2")
         front = config.UwsgiFront(("127.0.0.1", 0), "/match/", 30.0)
         self.said: list[str] = []
+        self.files = text
         self.server = Server(
             config.parse(text), front, self.backend, loop=Loop(lambda: self.now), log=self.said.append,
             dial=self.dial, contracts=self.contracts, store=self.store,
+            files=lambda: config.Files(config.parse(self.files)),
         )  # fmt: skip
         self.peers: dict[str, Peer] = {}
         self.pump()
@@ -184,7 +194,8 @@
 
     def dial(self, loop: Loop, address: tuple[str, int], span: float) -> Generator[Any, Any, Any]:
         ours, theirs = socket.socketpair()
-        if address[1] == 2:
+        self.dialled.append(address[1])
+        if address[1] in (2, 4):
             return self.vm.dialled()
         there, peers = (self.up_there, self.up) if address[1] == 3 else (self.catalog_up, self.catalog)
         if not there:
@@ -228,6 +239,9 @@
     def do_wait(self, span: str) -> None:
         self.wait(float(span))
 
+    def do_lose(self, name: str, count: str) -> None:
+        self.vm.lost = int(count)
+
     def do_close(self, name: str) -> None:
         peer = self.vm.link if name == "vm" else self.up[-1] if name == "up" else self.peers[name]
         assert peer is not None
@@ -236,7 +250,7 @@
 
     def do_send(self, name: str, what: str, *rest: str) -> None:
         if name == "server":
-            self.server.drain()
+            self.server.drain() if what == "TERM" else self.server.reload()
         elif name == "up":
             body = b"done " + rest[0].encode() if rest else b""
             more = (("Retry-After", "1"),) if what == "503" else ()
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from scenario import World
+from scenario import World, configuration
 
 from lapishaven import config
-from lapishaven.backends.interpreter import Unsent
+from lapishaven.backends.interpreter import Command, Ledger
 
 
 class Platform(World):
@@ -73,6 +73,7 @@
             expect vm APPLY c1.2
             send vm OK c1.1
             expect c1 result 1
+            wait 0.3                 # by now a gauge's answer proved that both were read
             close vm
             wait 0.1
             expect vm CONNECT 1
@@ -117,12 +118,140 @@
 
     # Guards against a second run after a break in mid-command: what the kernel took whole may have run.
     def test_a_command_counts_as_sent_with_its_last_byte(self) -> None:
-        unsent = Unsent()
-        unsent.note(b"CONNECT 0\r\n", None)
-        for handle in "abc":
-            unsent.note(b"APPLY " + handle.encode() + b" x 0\r\n\r\n", handle)
-        self.assertEqual([handle for handle, _ in unsent.rest(11 + 15 + 14)], ["b", "c"])
-        self.assertEqual(unsent.rest(1000), [])
+        ledger = Ledger()
+        ledger.mark("", 11)
+        for now, handle in enumerate("abcd"):
+            ledger.note(now, Command(handle, b"APPLY " + handle.encode() + b" x 0\r\n\r\n"))
+            ledger.mark(handle, 10)
+        ledger.answered(2.05, "b")  # proves a, but c was written too short a time before to be safe
+        unsent, doubtful = ledger.settle(11 + 25 * 2 + 15 + 10 + 14)
+        self.assertEqual([c.handle for c in doubtful], ["c"])
+        self.assertEqual([c.handle for c in unsent], ["d"])
+        self.assertEqual(ledger.settle(1000), ([], []))
+
+    # Guards against requests that seem to run for a minute as a break took their commands along: each held a
+    # place and its caller until its due time. What is safe is sent again, a commit never is.
+    def test_what_a_break_may_have_lost_is_settled_on_the_next_link(self) -> None:
+        self.play("""
+            expect vm CONNECT 0
+            send c1 1 approve-commit
+            expect vm APPLY c1.1
+            send vm OK c1.1          # over, so in no doubt
+            expect c1 result 1
+            send c1 2 approve-commit
+            expect vm APPLY c1.2
+            lose vm 2
+            send c1 3 fuzzy-match
+            send c1 4 approve-commit
+            close vm
+            wait 0.05
+            expect vm CONNECT 1
+            expect vm BREAK c1.2     # stopped to see whether it runs
+            send vm STOPPED c1.2
+            expect vm APPLY c1.3
+        """)
+        self.assertEqual(self.vm.log.pop(0)[:5], "BREAK")  # c1.4, which no interpreter has heard of
+        self.play("""
+            expect vm CONTINUE c1.2
+            expect c1 nothing
+            wait 0.15
+            expect c1 failed 4
+            send vm OK c1.3
+            expect c1 result 3
+            send vm OK c1.2
+            expect c1 result 2
+            expect vm nothing
+        """)
+        self.assertEqual(self.server.broker.requests, {})
+
+    # Guards against a run that is taken up again though its caller left while it was in doubt.
+    def test_what_is_in_doubt_can_be_forgotten(self) -> None:
+        self.play("""
+            expect vm CONNECT 0
+            send c1 1 approve-commit
+            send c1 2 fuzzy-match
+            expect vm APPLY c1.1
+            expect vm APPLY c1.2
+            close vm
+            send c1 forget 1
+            send c1 forget 2
+            wait 0.05
+            expect vm CONNECT 0
+            expect vm BREAK c1.1
+            expect vm APPLY c1.2     # tells whether it still runs
+            expect vm BREAK c1.2
+            send vm STOPPED c1.1
+            send vm MOOT c1.2
+            expect vm nothing
+        """)
+        self.assertEqual(self.server.broker.requests, {})
+
+    # Guards against a result lost to a remark: remarks carry numbers, too.
+    def test_a_remark_never_stands_for_the_end_of_a_run(self) -> None:
+        self.play("""
+            expect vm CONNECT 0
+            send c1 1 fuzzy-match
+            expect vm APPLY c1.1
+        """)
+        self.vm.tell("TRACE 1 nothing of note")
+        self.play("""
+            send vm OK c1.1 1
+            expect c1 result 1
+        """)
+
+    # Guards against an end on SIGHUP, and against anything open being lost by a reload.
+    def test_a_reload_moves_the_links_and_keeps_all_that_is_open(self) -> None:
+        self.catalog_up = True
+        self.play("""
+            expect vm CONNECT 0
+            send c1 1 approve-commit
+            send c1 2 approve-commit
+            expect vm APPLY c1.1
+            expect vm APPLY c1.2
+            send vm OK c1.1
+            expect c1 result 1
+            wait 0.5
+        """)
+        self.files = configuration(vm="127.0.0.1:4", directory="127.0.0.1:5", stop_ms=1000, name="n2")
+        self.dialled.clear()
+        self.play("""
+            send server HUP
+            expect vm CONNECT 1
+            send c1 3 fuzzy-match
+            expect vm APPLY c1.3
+            send vm OK c1.2
+            expect c1 result 2
+            send vm OK c1.3
+            expect c1 result 3
+            expect vm nothing
+        """)
+        self.assertEqual(sorted(self.dialled), [4, 5])
+        self.assertEqual(self.said[-1], "reload: done; only a restart changes name")
+        self.files = "{"
+        self.play("""
+            send server HUP
+            send c1 4 fuzzy-match
+            expect vm APPLY c1.4
+        """)
+        self.assertEqual(self.said[-1], "reload: the configuration is not JSON; the old configuration stays")
+        self.assertEqual(sorted(self.dialled), [4, 5])
+
+    # Guards against commands given to a link on its way out: they wait for the new one.
+    def test_what_comes_while_the_link_moves_goes_to_the_new_address(self) -> None:
+        self.play("expect vm CONNECT 0")
+        self.files = configuration(vm="127.0.0.1:4")
+        self.play("""
+            lose vm 1000
+            send server HUP
+            send c1 1 fuzzy-match
+            wait 0.2
+            lose vm 0
+            expect vm nothing
+            wait 0.1
+            expect vm CONNECT 0
+            expect vm APPLY c1.1
+            expect vm nothing
+        """)
 
     # Guards against work begun after the leave, and against a caller left without the notice.
     def test_drain_answers_what_was_read_and_runs_nothing_late(self) -> None:
