Refuse times out of range as malformed, which took healthy servers off the list

A probe that printed ages over half a second and health changes showed each critical report within 0.1 s of one request by a bad client with recv 0 (age 1.8e9 s) or in the far future; fronts/platform.py passed any number, the broker clamped it to the class's span, and the module's unread rose past every aim.

A time over 60 s off this clock is now an error on both fronts, as is a caller's number that is no u32.

--- a/lapishaven/fronts/__init__.py
+++ b/lapishaven/fronts/__init__.py
@@ -11,6 +11,19 @@
 from lapishaven.net.conn import Conn
 from lapishaven.net.loop import Loop, Wait
 
+CLOCKS = 60.0  # s that a stated time may be off this clock, far past any deadline; beyond that it is no time
+
+
+def age(now: float, stated: float | None) -> float | None:
+    """How old a request is by its own word; ``None`` if that is out of range.
+
+    Guards the module's picture of how late it reads: one request said to have come in 1970 would tell it that
+    everything waits past its aim, and take the server off the list. A clock a little ahead gives a negative
+    age, which the core clamps.
+    """
+    span = now - stated if stated is not None else 0.0
+    return span if abs(span) <= CLOCKS else None
+
 
 class Session(Protocol):
     """One connection of a front."""
--- a/lapishaven/fronts/platform.py
+++ b/lapishaven/fronts/platform.py
@@ -10,7 +10,7 @@
 from lapishaven.core import Answer, Kind, Submission
 from lapishaven.core.model import Request
 from lapishaven.ends import End
-from lapishaven.fronts import Host
+from lapishaven.fronts import Host, age
 from lapishaven.net.conn import Conn
 from lapishaven.net.loop import Wait
 from lapishaven.proto import TooLarge, jsonrpc
@@ -76,15 +76,18 @@
         if cls is None:
             self.conn.write(jsonrpc.error(m.id, jsonrpc.NO_METHOD, "no such class"))
             return
+        span = age(time.time(), m.recv)
+        if span is None:
+            self.host.counters.add("platform", f"malformed {jsonrpc.INVALID_PARAMS}")
+            self.conn.write(jsonrpc.error(m.id, jsonrpc.INVALID_PARAMS, "recv is out of its range"))
+            return
         if broker is None:
             self.conn.write(jsonrpc.error(m.id, jsonrpc.REFUSED, "not up yet", 1.0))
             return
         self.open[m.id] = None
         self._calls.setdefault(m.call, m.id)  # of two the second is failed
-        # A clock that is behind the caller's gives a negative age; the core clamps it.
-        age = time.time() - m.recv if m.recv is not None else 0.0
         sub = Submission(
-            m.call, cls, m.body, m.heap, m.crit, age, m.src, m.rep, write=m.row is None, subject=m.row
+            m.call, cls, m.body, m.heap, m.crit, span, m.src, m.rep, write=m.row is None, subject=m.row
         )
         request = broker.submit(self.host.loop.now, sub, lambda answer: self._answer(m, answer))
         if request is not None:
--- a/lapishaven/fronts/uwsgi.py
+++ b/lapishaven/fronts/uwsgi.py
@@ -23,7 +23,7 @@
 from lapishaven.core import Answer, Kind, Submission
 from lapishaven.core.model import Request
 from lapishaven.ends import End
-from lapishaven.fronts import Host
+from lapishaven.fronts import Host, age
 from lapishaven.net.conn import Conn
 from lapishaven.net.loop import Wait
 from lapishaven.proto import ProtocolError, TooLarge
@@ -56,7 +56,7 @@
     name = path.removeprefix(front.path)
     if not path.startswith(front.path) or name not in classes:
         raise LookupError(f"no class at {path[:80]!r}")
-    id, caller, started = get("HTTP_X_REQUEST_ID", ""), get("HTTP_X_CALLER", ""), 0.0
+    id, caller, started = get("HTTP_X_REQUEST_ID", ""), get("HTTP_X_CALLER", ""), now
     if len(id) > ID_LIMIT or not id.isprintable():
         raise ProtocolError("HTTP_X_REQUEST_ID is too long or not printable")
     if caller and not (caller.isascii() and caller.isdigit() and int(caller[:10]) < 65536):
@@ -66,14 +66,14 @@
             started = float(mark.removeprefix("t="))
         except ValueError:
             started = math.nan
-        if not math.isfinite(started):
-            raise ProtocolError("HTTP_X_REQUEST_START is not a time")
+        if age(now, started) is None:
+            raise ProtocolError("HTTP_X_REQUEST_START is no time near this one")
     team, service = get("HTTP_X_TEAM", ""), get("HTTP_X_SERVICE", "")
     # Two services may use the same id for different effects.
     key = json.dumps([team, service, id]) if id else None
     who = int(caller[:10]) if caller else zlib.crc32(get("REMOTE_ADDR", "").encode()) % 65536
     return Submission(
-        handle, classes[name], request.body, front.held_kb, age=now - started if started else 0.0,
+        handle, classes[name], request.body, front.held_kb, age=now - started,
         caller=who, retry=get("HTTP_X_RETRY") == "1", write=True, key=key,
         team=team, service=service,
     )  # fmt: skip
--- a/lapishaven/proto/jsonrpc.py
+++ b/lapishaven/proto/jsonrpc.py
@@ -89,12 +89,13 @@
     if len(body) > BODY_LIMIT:
         raise _BadParams(f"a body is longer than {BODY_LIMIT} bytes")
     heap, crit = _number(params, "heap"), _number(params, "crit", 0.0)
-    if not 0 < heap < 2000 or not 0 <= crit < 1:
-        raise _BadParams("heap or crit is out of its range")
+    src = _number(params, "src", 0)
+    if not 0 < heap < 2000 or not 0 <= crit < 1 or not 0 <= src < 1 << 32 or src != int(src):
+        raise _BadParams("heap, crit or src is out of its range")
     return Serve(
         id, method, call, body, float(heap),
         recv=_number(params, "recv") / 1000 if params.get("recv") is not None else None,
-        src=int(_number(params, "src", 0)), rep=bool(params.get("rep")), crit=float(crit), row=subject,
+        src=int(src), rep=bool(params.get("rep")), crit=float(crit), row=subject,
     )  # fmt: skip
 
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -271,6 +271,7 @@
             variables = {"REQUEST_METHOD": "POST", "PATH_INFO": f"/match/{what}"}
             variables |= {"HTTP_X_REQUEST_ID": options["id"]} if "id" in options else {}
             variables |= {"HTTP_X_RETRY": "1"} if "retry" in options else {}
+            variables |= {"HTTP_X_REQUEST_START": options["start"]} if "start" in options else {}
             variables |= {"HTTP_X_TEAM": "team", "HTTP_X_SERVICE": options["by"]} if "by" in options else {}
             return uwsgi.packet(variables, name.encode())
         params: dict[str, Any] = {}
@@ -283,6 +284,7 @@
             method, id = rest[0], int(what)
             params = {"call": self.call(name, what), "heap": 24.5, "crit": 0.9,
                       "arg": base64.b64encode(f"{name}.{what}".encode()).decode()}  # fmt: skip
+            params |= {key: float(value) for key, value in (word.split("=") for word in rest[1:])}
         head = {"jsonrpc": "2.0", "method": method, **({"id": id} if id else {})}
         return json.dumps({**head, "params": params}).encode() + b"\n"
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -285,6 +285,16 @@
             expect c1 -32601 1
             send c1 raw {"id":2,"method":"fuzzy-match","params":{"call":"xyz"}}\n
             expect c1 -32602 2
+            send c2 1 fuzzy-match recv=0
+            expect c2 -32602 1
+            send c2 2 fuzzy-match recv=1e23
+            expect c2 -32602 2
+            send c2 3 fuzzy-match src=-1
+            expect c2 -32602 3
+            send c2 4 fuzzy-match src=0.5
+            expect c2 -32602 4
+            send u1 fuzzy-match start=0
+            expect u1 400
             send c1 3 fuzzy-match
             send c1 3 fuzzy-match
             expect c1 -32600 None
