--- a/cometdrum/controller.py
+++ b/cometdrum/controller.py
@@ -84,7 +84,7 @@
         self.tenant_rate = [0.0] * len(settings.tenants)
         self.tenant_weight = [1.0] * len(settings.tenants)
         self.keys: list[tuple[float, int]] = []
-        self.kept: dict[int, float] = {}
+        self.kept: dict[int, float] = {}  # what is booked for each entry
         self.calls_waiting: deque[int] = deque()
         self.lingering: deque[float] = deque()
         self.caller_seen: dict[int, tuple[float, list[float]]] = {}  # when, and the time given by class
@@ -344,26 +344,26 @@
 
     # ---- Keys
     def _keep(self, r: _Request) -> None:
-        """An entry before the run, to the end of the window; without room for it the request is refused."""
-        if self.memory + self.s.key_kb > MEMORY * self.s.memory_kb:
+        """An entry before the run, to the window's end, or a refusal; booked only for classes with keys."""
+        size = self.s.key_kb if r.spec.effect is i.Effect.KEYED else 0.0
+        if self.memory + size > MEMORY * self.s.memory_kb:
             self._refuse(r, "keys full")
             return
         end = r.arrived + (r.spec.window or r.spec.deadline) + POLL
         r.kept = True
-        self.kept[r.id] = end
+        self.kept[r.id] = size
         heappush(self.keys, (end, r.id))  # by their end: windows differ by class
-        self.memory += self.s.key_kb
+        self.memory += size
         self.out.append(i.Keep(r.id, end - self.now))
 
     def _drop_key(self, r: _Request) -> None:
-        if r.kept and not r.ran and self.kept.pop(r.id, None) is not None:
+        if r.kept and not r.ran and r.id in self.kept:
             self.out.append(i.Forget(r.id))
-            self.memory -= self.s.key_kb
+            self.memory -= self.kept.pop(r.id)
 
     def _watch_keys(self) -> None:
         while self.keys and self.keys[0][0] + POLL < self.now:
-            if self.kept.pop(heappop(self.keys)[1], None) is not None:
-                self.memory -= self.s.key_kb
+            self.memory -= self.kept.pop(heappop(self.keys)[1], 0.0)
 
     # ---- What is told to callers
     def _tell(self) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -441,3 +441,14 @@
         now += 0.1
         answered |= set(ids(c.handle(now, [poll(1.0, 6.0)]), i.Refuse, i.Fail))
     assert answered == set(range(120))  # no run ends here, so each is refused or failed by its due time
+
+
+# Guards against refusing for entries that nobody holds: a class without keys has none, so a thousand of its
+# requests in a window book no more than those that run.
+def test_a_class_without_keys_books_no_entries() -> None:
+    unsafe = replace(KEYED, effect=i.Effect.UNSAFE)
+    c = started(classes=(unsafe,), memory_kb=2000.0, key_kb=950.0)
+    for id in range(1, 1001):
+        assert ids(c.handle(id / 250, [arrival(id)]), i.Run) == [id]
+        c.handle(id / 250, [i.Finished(id, 0.01, i.Outcome.OK)])
+    assert c.memory == 0.0
