Let the silent and half-open go first, at a cost that does not grow with the crowd

Now the next in turn goes, let off once for each whole message since the last look; a message has 2 s to come whole; a closed connection lets go of its rings; a 65th open request on a connection is an error while the reading goes on, where it stopped the reading and with it what took the others back; deep checks outlive a break and share one end; what callers leave unread is bounded by the configured memory, not by 48 MiB; 32 descriptors are kept back (96 with a uwsgi backend).

--- a/lapishaven/backends/interpreter.py
+++ b/lapishaven/backends/interpreter.py
@@ -102,7 +102,7 @@
         self._fences: dict[str, Callable[[], None]] = {}
         self._tags = 0
         self._asked = False
-        self._smokes: dict[str, Callable[[bool], None]] = {}
+        self._smokes: dict[str, list[Callable[[bool], None]]] = {}
         self._pause: Wait | None = None
         self._moving = self._stopped = False
 
@@ -135,10 +135,15 @@
             self._fence(None)
 
     def smoke(self, told: Callable[[bool], None]) -> None:
-        """A deep health check; ``told`` is called once. One that meets a break is sent on the next link."""
+        """A deep health check; ``told`` is called once. One that meets a break is sent on the next link.
+
+        Checks that come while one is out share its end, so that a flood of them is no flood of work.
+        """
+        if self._smokes:
+            return next(iter(self._smokes.values())).append(told)
         self._tags += 1
         tag = f"s{self._tags}"
-        self._smokes[tag] = told
+        self._smokes[tag] = [told]
         self.loop.at(self.loop.now + SMOKE_WAIT, lambda: self._smoked(tag, False))
         self._ask(tag)
 
@@ -167,8 +172,7 @@
             self._fences[tag] = then
 
     def _smoked(self, tag: str, good: bool) -> None:
-        told = self._smokes.pop(tag, None)
-        if told is not None:
+        for told in self._smokes.pop(tag, ()):
             told(good)
 
     # ---- The link
--- a/lapishaven/fronts/__init__.py
+++ b/lapishaven/fronts/__init__.py
@@ -29,6 +29,7 @@
     """One connection of a front."""
 
     conn: Conn
+    since: float | None  # since when the rest of a message is awaited, the first from the start; else None
 
     @property
     def busy(self) -> bool:
--- a/lapishaven/fronts/platform.py
+++ b/lapishaven/fronts/platform.py
@@ -15,7 +15,7 @@
 from lapishaven.net.loop import Wait
 from lapishaven.proto import TooLarge, jsonrpc
 
-OPEN_LIMIT = 64  # open requests on a connection past which it is not read; callers keep to 32
+OPEN_LIMIT = 64  # open requests on a connection past which more are an error; the protocol allows 32
 
 
 class Session:
@@ -26,7 +26,7 @@
         self.conn = Conn(host.loop, sock, self._ended)
         self.open: dict[int, Request | None] = {}  # by the id on this connection
         self._calls: dict[str, int] = {}
-        self._room: Wait | None = None
+        self.since: float | None = host.loop.now
         if host.draining:
             self.conn.write(jsonrpc.DRAINING)
 
@@ -37,9 +37,6 @@
     def run(self) -> Generator[Wait, Any, None]:
         machine = jsonrpc.Server()
         while True:
-            while len(self.open) >= OPEN_LIMIT:
-                self._room = Wait()
-                yield self._room
             data = yield from self.conn.read()
             if isinstance(data, End):
                 return
@@ -50,6 +47,7 @@
                 self.conn.write(jsonrpc.error(None, jsonrpc.PARSE_ERROR, str(error)))
                 self.conn.finish(End.TOO_LARGE)
                 return
+            self.since = None if machine.whole else self.host.loop.now if self.since is None else self.since
 
     def _message(self, message: jsonrpc.Message) -> None:
         if isinstance(message, jsonrpc.Serve):
@@ -76,6 +74,11 @@
         if cls is None:
             self.conn.write(jsonrpc.error(m.id, jsonrpc.NO_METHOD, "no such class"))
             return
+        if len(self.open) >= OPEN_LIMIT:
+            # Still read, as what comes next may take the others back.
+            self.host.counters.add("platform", "too many open")
+            self.conn.write(jsonrpc.error(m.id, jsonrpc.INVALID_REQUEST, "too many open requests"))
+            return
         span = age(time.time(), m.recv)
         if span is None:
             self.host.counters.add("platform", f"malformed {jsonrpc.INVALID_PARAMS}")
@@ -114,8 +117,6 @@
         if id in self.open:
             del self.open[id]
             self.conn.write(line)
-            if self._room is not None and len(self.open) < OPEN_LIMIT:
-                self._room.wake()
 
     def drain(self) -> None:
         self.conn.write(jsonrpc.DRAINING)
@@ -123,6 +124,4 @@
     def _ended(self, end: End) -> None:
         for id in list(self.open):
             self._forget(id)
-        if self._room is not None:
-            self._room.wake()
         self.host.ended(self, end)
--- a/lapishaven/fronts/uwsgi.py
+++ b/lapishaven/fronts/uwsgi.py
@@ -29,7 +29,6 @@
 from lapishaven.proto import ProtocolError, TooLarge
 from lapishaven.proto import uwsgi as proto
 
-READ_WAIT = 5.0  # s for a whole request to come; longer than any gateway on one machine takes
 AFTER = 64 * 1024  # bytes after the request that are thrown away before it is called a broken client
 ID_LIMIT = 128
 
@@ -87,20 +86,20 @@
         self.conn = Conn(host.loop, sock, self._ended)
         self._request: Request | None = None
         self._open = False
+        self.since: float | None = host.loop.now
 
     @property
     def busy(self) -> bool:
         return self._open
 
     def run(self) -> Generator[Wait, Any, None]:
-        machine, until, after = proto.Server(), self.host.loop.now + READ_WAIT, 0
+        machine, after = proto.Server(), 0
         while True:
-            span = None if machine.done else max(0.0, until - self.host.loop.now)
-            data = yield from self.conn.read(span)
+            data = yield from self.conn.read()
             if isinstance(data, End):
                 return
             if data is None:
-                return self.conn.close(End.TIMED_OUT)
+                continue
             if machine.done:
                 after += len(data)
                 if after > AFTER:
@@ -112,9 +111,11 @@
                     self._submit(request)
             except (ProtocolError, LookupError) as error:
                 machine.done = True
+                self.since = None
                 self._error(ERRORS[type(error)], str(error))
 
     def _submit(self, request: proto.Request) -> None:
+        self.since = None
         broker, loop = self.host.broker, self.host.loop
         handle = f"{self._random.getrandbits(64):016x}"
         sub = submission(request, self.host.classes, self.front, handle, time.time())
--- a/lapishaven/net/conn.py
+++ b/lapishaven/net/conn.py
@@ -14,7 +14,6 @@
 
 IN_LIMIT = 16 * 1024
 OUT_LIMIT = 512 * 1024
-UNSENT_LIMIT = 48 * 1024 * 1024  # bytes for callers that do not read, all together: a quarter of the memory
 OUT_HIGH = 128 * 1024  # unsent bytes past which nothing more is read
 LINGER = 1.0  # s for the peer to read the last answer and close, before it is closed all the same
 BROKEN = select.EPOLLERR | select.EPOLLHUP
@@ -85,7 +84,7 @@
         """Queue bytes; they are sent at the end of the round."""
         if self.end is not None:
             return
-        if self.loop.unsent + len(data) > UNSENT_LIMIT:
+        if self.loop.unsent + len(data) > self.loop.unsent_limit:
             return self.close(End.EVICTED)
         try:
             self.out.write(data)
@@ -108,7 +107,10 @@
             return self.close(End.RESET)
         if not self.out.size and self._closing is not None and not self._shut:
             self._shut = True
-            self.sock.shutdown(socket.SHUT_WR)
+            try:
+                self.sock.shutdown(socket.SHUT_WR)
+            except OSError:  # the peer's reset was quicker
+                return self.close(End.RESET)
         self._interest()
 
     # ---- Ending
@@ -128,6 +130,8 @@
             return
         self.end = end
         self.loop.unsent -= self.out.size
+        # Let go of at once: what refers to a connection may live on, and crowds come by the hundred.
+        self.ins, self.out = Ring(0), Ring(0)
         self.loop.unwatch(self.sock.fileno())
         self.sock.close()
         self._on_end(end)
--- a/lapishaven/net/loop.py
+++ b/lapishaven/net/loop.py
@@ -48,6 +48,7 @@
         self._after: dict[Callable[[], None], None] = {}
         self._stopped = False
         self.received = self.sent = 0  # bytes of all connections so far
+        self.unsent_limit = 1 << 62
         self.unsent = 0  # bytes that all connections have queued and not yet sent
 
     # ---- Descriptors
--- a/lapishaven/proto/jsonrpc.py
+++ b/lapishaven/proto/jsonrpc.py
@@ -13,7 +13,7 @@
 from lapishaven.proto.lines import Lines
 
 BODY_LIMIT = 2048
-LINE_LIMIT = 16 * 1024  # a body of 2 KiB is 2.7 KiB in base64; the rest of a request is a few hundred bytes
+LINE_LIMIT = 8 * 1024  # a body of 2 KiB is 2.7 KiB in base64; the rest of a request is a few hundred bytes
 
 PARSE_ERROR, INVALID_REQUEST, NO_METHOD, INVALID_PARAMS = -32700, -32600, -32601, -32602
 REFUSED, FAILED = -32066, -32000
@@ -106,6 +106,11 @@
         self._lines = Lines(LINE_LIMIT)
         self._highest = 0
 
+    @property
+    def whole(self) -> bool:
+        """Whether no message has begun that is not whole yet."""
+        return not self._lines.data
+
     def feed(self, data: bytes) -> Iterator[Message]:
         """Messages in their order; raises ``TooLarge`` where a line has no end in sight."""
         self._lines.feed(data)
--- a/lapishaven/server.py
+++ b/lapishaven/server.py
@@ -30,7 +30,10 @@
 from lapishaven.net.loop import Loop
 from lapishaven.store import Entry, Store
 
-RESERVE = 96  # descriptors for the program itself: streams, epoll, links, attempts of the uwsgi backend
+RESERVE = 32  # descriptors for the program itself: streams, epoll, doors, links and those on their way out
+ATTEMPTS = 64  # and for attempts of the uwsgi backend, where there is one
+WHOLE = 2.0  # s for a message to come whole, the first one counted from the accept
+UNSENT_PART = 8  # part of the memory that answers may take up which callers do not read
 SWEEP = 0.05  # s between looks for idle connections
 LEAVE_ROOM = 0.15  # s before the kill at which the program ends by itself
 SEED_MARK = 0x7577736769  # sets the front's random numbers apart from the module's
@@ -57,8 +60,10 @@
         self.counters = counters or Counters()
         self.broker: Broker | None = None
         self.draining = False
-        self.sessions: dict[Session, None] = {}
-        self.budget = Budget(config.descriptors, min(RESERVE, config.descriptors // 4))
+        self.sessions: dict[Session, float] = {}  # when each was last looked at, oldest look first
+        reserve = RESERVE + (ATTEMPTS if backend is not None else 0)
+        self.budget = Budget(config.descriptors, min(reserve, config.descriptors // 4))
+        self.loop.unsent_limit = config.memory_mb * 1024 * 1024 // UNSENT_PART
         self.classes = {spec.name: n for n, spec in enumerate(config.settings.classes)}
         self.store, self._contracts, self._files = store, contracts, files
         self.drivers: dict[str, Driver] = {}
@@ -134,13 +139,13 @@
         def accepted(sock: socket.socket) -> None:
             self.counters.add("connections", "accepted")
             session = session_of(sock)
-            self.sessions[session] = None
+            self.sessions[session] = self.loop.now
             self.loop.spawn(session.run())
 
         return Listener(self.loop, address, self.budget, accepted, self._make_room)
 
     def ended(self, session: Session, end: End) -> None:
-        if self.sessions.pop(session, 0) is None:
+        if self.sessions.pop(session, None) is not None:
             self.budget.used -= 1
             self.counters.add("ends", f"caller {end.value}")
 
@@ -151,17 +156,29 @@
             self.backend.smoke(told)
 
     def _make_room(self) -> bool:
-        """Close the connection that has been idle longest, if any is."""
-        idle = [s for s in self.sessions if not s.busy and not s.conn.out.size]
-        if not idle:
-            return False
-        min(idle, key=lambda s: s.conn.active).conn.close(End.EVICTED)
-        return True
+        """Close a connection that has long been idle, if any is.
+
+        Each in turn is let off once for a whole message since the last look, so that a crowd which says
+        nothing goes before callers that come back. A look costs the same however many are there.
+        """
+        for _ in range(len(self.sessions)):
+            session = next(iter(self.sessions))
+            said = session.since is None and session.conn.active > self.sessions[session]
+            if not (said or session.busy or session.conn.out.size):
+                session.conn.close(End.EVICTED)
+                return True
+            del self.sessions[session]
+            self.sessions[session] = session.conn.active
+        return False
 
     def _sweep(self) -> None:
-        old = self.loop.now - self._idle
-        for session in [s for s in self.sessions if s.conn.active < old and not s.busy]:
-            if not session.conn.out.size:
+        old, late = self.loop.now - self._idle, self.loop.now - WHOLE
+        for session in [s for s in self.sessions if not s.busy]:
+            if session.since is not None:
+                # Silent or half-open: no use of it, while callers may want its place.
+                if session.since <= late:
+                    session.conn.close(End.TIMED_OUT)
+            elif session.conn.active < old and not session.conn.out.size:
                 session.conn.close(End.IDLE)
         self.loop.at(self.loop.now + SWEEP, self._sweep)
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -94,7 +94,7 @@
         self.log: list[str] = []
         self.handles: dict[str, str] = {}  # label -> handle, from the bodies
         self.applied: list[str] = []
-        self.number, self.load, self.lost = 0, (0.3, 1.0), 0
+        self.number, self.load, self.lost, self.smoked = 0, (0.3, 1.0), 0, 0
         self._pending = ""
 
     def dialled(self) -> socket.socket:
@@ -132,6 +132,7 @@
             elif word == "TOP":
                 self.tell(f"TOPS {rest} {self.load[0]} {self.load[1]} 0.1 3")
             elif word == "SMOKE":
+                self.smoked += 1
                 self.tell(f"SMOKED {rest} OK")
             else:
                 names = {handle: label for label, handle in self.handles.items()}
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -12,7 +12,6 @@
 from hypothesis import strategies as st
 from scenario import World
 
-from lapishaven.net import conn
 from lapishaven.net.ring import Ring, RingFull
 from lapishaven.proto import ProtocolError, catalog, interpreter, jsonrpc, uwsgi
 
@@ -95,7 +94,7 @@
 class Unread(World):
     # Guards against death by memory: callers that never read leave answers here, up to one common bound.
     def test_answers_that_nobody_reads_are_bounded(self) -> None:
-        with mock.patch.object(conn, "UNSENT_LIMIT", 400):
+        with mock.patch.object(self.server.loop, "unsent_limit", 400):
             self.play("send c1 1 no-such-class\nexpect c1 -32601 1")
             self.peer("c1").sock.sendall(b"x\n" * 20)  # twenty errors in one round are over the bound
             self.pump()
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -337,6 +337,69 @@
             expect c3 unwell
         """)
 
+    # Guards against a healthy server that is left out as a check met a break, and against a flood of checks.
+    def test_deep_checks_outlive_a_break_and_share_one_end(self) -> None:
+        self.play("expect vm CONNECT 0\nlose vm 1")
+        for name in ("c1", "c2", "c3"):
+            self.peer(name).sock.sendall(self.message(name, "check", "deep"))
+        self.pump()
+        self.play("""
+            close vm
+            expect c1 nothing
+            wait 0.05
+            expect vm CONNECT 0
+            expect c1 well
+            expect c2 well
+            expect c3 well
+        """)
+        self.assertEqual(self.vm.smoked, 1)
+
+    # Guards against a crowd that says nothing, or half a message, and holds the descriptors of real callers.
+    def test_the_silent_and_the_half_open_go_first(self) -> None:
+        self.play(r"""
+            expect vm CONNECT 0
+            send c1 1 fuzzy-match
+            expect vm APPLY c1.1
+            wait 0.1
+            send vm OK c1.1
+            expect c1 result 1
+            send c2 raw {"id":1
+            send c3 raw {"id":1
+        """)
+        self.assertTrue(self.server._make_room())
+        self.play(r"""
+            expect c2 closed         # though it spoke last, and c1 came first
+            expect c1 nothing
+            wait 1.5
+            send c3 raw ,
+            send u1 raw \x00
+            send c4 1 fuzzy-match
+            send c4 raw {
+            wait 0.6
+            expect c3 closed
+            expect c4 nothing        # its request is still owed an answer
+            expect u1 nothing
+            wait 1.5
+            expect u1 closed
+            send vm OK c4.1
+            expect c4 result 1
+            wait 0.1
+            expect c4 closed
+            expect c1 nothing
+        """)
+
+    # Guards against hundreds at once that stop the reading, so that what takes them back is not read.
+    def test_hundreds_may_be_taken_back_at_once(self) -> None:
+        wanted = [self.message("c1", str(n), "fuzzy-match") for n in range(1, 101)]
+        back = [self.message("c1", "forget", str(n)) for n in range(1, 101)]
+        self.peer("c1").sock.sendall(b"".join(wanted + back))
+        self.play("""
+            expect c1 -32600 65
+            send c1 101 fuzzy-match
+        """)
+        self.assertEqual(list(self.server.broker.by_handle)[-1], self.call("c1", "101"))
+        self.assertEqual(self.server.broker.open_requests, 1)
+
     # Guards against closing under a request, and against a table full of idle connections.
     def test_only_idle_connections_are_closed(self) -> None:
         self.play("""
