Bound what the guard and the key table hold, without forgetting a started commit early

Kept results had no bound but the module's booking, which no longer covers classes without keys.

A try's name is now kept 75 s: a copy bears its time, and one from over 60 s ago is malformed since the range check. Keys keep their 15 minutes. Neither is forgotten early: with the guard full a commit is refused unrun.

--- a/lapishaven/core/broker.py
+++ b/lapishaven/core/broker.py
@@ -31,7 +31,8 @@
 IDS = 1 << 32
 GAUGE_WAIT = 0.25  # s; a poll goes to the module without gauges after this, so its timers never stand still
 KILL_ROOM = 0.1  # s before the kill at which the net answers what is left
-ONCE_LIFE = 900.0  # s; far longer than any caller keeps a try
+ONCE_LIFE = 900.0  # s for a key; far longer than any caller keeps a try
+TRY_LIFE = 75.0  # s for a try's name: a copy bears its time, and one from over a minute ago is an error
 NEVER_RAN = (i.Outcome.FULL, i.Outcome.UNREACHED)  # outcomes that prove it
 BACKEND_WAIT = 1.0  # s to keep away after the backend could not be reached or turned an attempt away
 ORPHAN = 60.0  # s past its due time after which an attempt whose end was never told is let go
@@ -50,6 +51,7 @@
         contracts: Contracts | None = None,
         routes: Mapping[str, Backend] | None = None,
         record: Record = lambda event, sub, detail: None,
+        memory: int = 64 * 1024 * 1024,
     ) -> None:
         self.settings, self.backend, self.signals, self.counters = settings, backend, signals, counters
         self.contracts, self.routes, self._record = contracts, routes or {}, record
@@ -57,8 +59,9 @@
         self.classes = {spec.name: n for n, spec in enumerate(settings.classes)}
         self.requests: dict[int, Request] = {}
         self.by_handle: dict[str, Request] = {}
-        self.keys = KeyTable()
-        self.once = OnceGuard(ONCE_LIFE)
+        # A name takes some 200 bytes, so each guard up to a tenth of the memory; a sixteenth is for results.
+        self.keys = KeyTable(memory // 16)
+        self.tries, self.effects = (OnceGuard(life, memory // 2048) for life in (TRY_LIFE, ONCE_LIFE))
         self.draining: float | None = None
         self._kill_at = float("inf")
         self._last_id = random.Random(seed).randrange(IDS)
@@ -73,7 +76,7 @@
     def submit(self, now: float, sub: Submission, reply: Reply) -> Request | None:
         """Take a request into the table; ``None`` if it was answered at once."""
         self.counters.add("requests", "read")
-        if sub.handle in self.by_handle or self.once.claimed(sub.handle):
+        if sub.handle in self.by_handle or self.tries.claimed(sub.handle):
             # The backend knows runs by this name, so a second request under it could meet the first one's
             # result. It may have run, so this is no refusal.
             self._send(sub, reply, Answer(Kind.FAILED, reason="this try is known already"))
@@ -116,7 +119,7 @@
 
     def remember(self, now: float, cls: str, key: str, age: float) -> None:
         """A keyed run that an earlier life of this server started, so that it is not started again."""
-        self.once.claim(now - age, (self.classes[cls], key))
+        self.effects.claim(now - age, (self.classes[cls], key))
 
     # ---- From the backend
     def finished(self, handle: str, outcome: i.Outcome, spent: float, result: bytes = b"") -> None:
@@ -133,7 +136,8 @@
         if outcome is i.Outcome.OK:
             self._answer(r, Answer(Kind.SERVED, result))
         elif outcome in NEVER_RAN:
-            self.once.release(*self._names(r))
+            self.tries.release(r.sub.handle)
+            self.effects.release((r.sub.cls, r.sub.key))
             r.ran = False
             self._record("unrun", r.sub, outcome.name.lower())
             self._answer(r, Answer(Kind.REFUSED, reason="the backend did not take it", pushback=BACKEND_WAIT))
@@ -251,11 +255,10 @@
         if r.state is not State.HELD:
             return
         spec, sub = self.settings.classes[r.sub.cls], r.sub
-        late = self.draining is not None and r.arrived > self.draining + self.settings.drain_grace
-        if late or spec.effect is not i.Effect.SAFE and not self.once.claim(now, *self._names(r)):
+        bar = self._bar(now, r)
+        if bar is not None:
             self.counters.add("requests", "start barred")
-            kind = Kind.REFUSED if late else Kind.FAILED
-            self._answer(r, Answer(kind, reason="it came after the leave" if late else "it ran before"))
+            self._answer(r, bar)
             self._events.append(i.Finished(r.id, 0.0, i.Outcome.MOOT))
             self._close(r)
             return
@@ -265,11 +268,23 @@
         self._record("started", sub, "")
         r.backend.start(sub.handle, spec.name, sub.body, spec.effect is not i.Effect.SAFE)
 
-    @staticmethod
-    def _names(r: Request) -> tuple[str | tuple[int, str], ...]:
-        """What a request's run is claimed under: its try, and its effect where that has a key."""
+    def _bar(self, now: float, r: Request) -> Answer | None:
+        """What keeps a request from its run; else its try is claimed, and its effect where it has a key."""
         sub = r.sub
-        return (sub.handle,) if sub.key is None else (sub.handle, (sub.cls, sub.key))
+        if self.draining is not None and r.arrived > self.draining + self.settings.drain_grace:
+            return Answer(Kind.REFUSED, reason="it came after the leave")
+        if self.settings.classes[sub.cls].effect is i.Effect.SAFE:
+            return None
+        key = (sub.cls, sub.key)
+        if self.tries.claimed(sub.handle) or sub.key is not None and self.effects.claimed(key):
+            return Answer(Kind.FAILED, reason="it ran before")
+        if self.tries.full(now) or sub.key is not None and self.effects.full(now):
+            self.counters.add("requests", "guard full")
+            return Answer(Kind.REFUSED, reason="no room to remember its run", pushback=BACKEND_WAIT)
+        self.tries.claim(now, sub.handle)
+        if sub.key is not None:
+            self.effects.claim(now, key)
+        return None
 
     def _attach(self, now: float, r: Request) -> None:
         assert r.repeats is not None and r.sub.key is not None
--- a/lapishaven/core/once.py
+++ b/lapishaven/core/once.py
@@ -7,26 +7,27 @@
 
 
 class OnceGuard:
-    """Remembers what was started. Names are forgotten ``life`` seconds after they were claimed."""
+    """Remembers what was started. Names are forgotten ``life`` seconds after they were claimed.
 
-    def __init__(self, life: float) -> None:
-        self.life = life
+    Nothing is forgotten early to make room: when ``limit`` names are there, no new one can be claimed.
+    """
+
+    def __init__(self, life: float, limit: int) -> None:
+        self.life, self.limit = life, limit
         self._claimed: OrderedDict[Hashable, float] = OrderedDict()
 
-    def claim(self, now: float, *names: Hashable) -> bool:
-        """True, and all names are taken, if none of them was."""
+    def full(self, now: float) -> bool:
         while self._claimed and next(iter(self._claimed.values())) <= now:
             self._claimed.popitem(last=False)
-        if any(name in self._claimed for name in names):
-            return False
-        for name in names:
-            self._claimed[name] = now + self.life
-        return True
+        return len(self._claimed) >= self.limit
+
+    def claim(self, now: float, name: Hashable) -> None:
+        """Take a name, which is neither claimed nor beyond the limit."""
+        self._claimed[name] = now + self.life
 
-    def release(self, *names: Hashable) -> None:
+    def release(self, name: Hashable) -> None:
         """For what provably never ran."""
-        for name in names:
-            self._claimed.pop(name, None)
+        self._claimed.pop(name, None)
 
     def claimed(self, name: Hashable) -> bool:
         return name in self._claimed
--- a/lapishaven/server.py
+++ b/lapishaven/server.py
@@ -104,7 +104,7 @@
             contracts = Contracts(self._contracts) if self._contracts is not None else None
             self.broker = Broker(
                 settings, self.config.seed, self.backend, self, self.counters, contracts, self.drivers,
-                self._record,
+                self._record, self.config.memory_mb * 1024 * 1024,
             )  # fmt: skip
             for cls, key, age in self.store.started(ONCE_LIFE) if self.store is not None else ():
                 if cls in self.classes:
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 from scenario import World
 
+from lapishaven.core.keys import KeyTable
 from lapishaven.net.ring import Ring, RingFull
 from lapishaven.proto import ProtocolError, catalog, interpreter, jsonrpc, uwsgi
 
@@ -103,6 +104,43 @@
         self.assertEqual(self.server.loop.unsent, 0)
 
 
+class Bounds(World):
+    # Guards against memory that grows with keys: results are let go, oldest first, and none is counted twice.
+    def test_kept_results_are_bounded(self) -> None:
+        table = KeyTable(100)
+        for id in range(1, 50):
+            table.open((0, f"k{id % 7}"), id)
+            table.keep((0, f"k{id % 7}"), id, 10.0)
+            table.close((0, f"k{id % 7}"), id, b"x" * 40)
+            self.assertLessEqual(table.size, 100)
+        kept = [table.find((0, f"k{n}"), 5.0) for n in range(7)]
+        self.assertEqual(sorted(e.id for e in kept if e is not None and e.result), [48, 49])
+        self.assertEqual([table.find((0, f"k{n}"), 11.0) for n in range(7)], [None] * 7)
+        self.assertEqual((len(table), table.size), (0, 0))
+
+    # Guards against memory that grows with commits: tries are let go after their life, and with no room to
+    # remember a run there is none, as forgetting one early could let it run twice.
+    def test_the_guard_is_bounded_and_forgets_nothing_early(self) -> None:
+        self.server.broker.tries.limit = 2
+        self.play("""
+            expect vm CONNECT 0
+            send c1 1 approve-commit
+            send c1 2 approve-commit
+            send c1 3 approve-commit
+            send c1 4 fuzzy-match
+            expect c1 refused 3
+            expect vm APPLY c1.1
+            expect vm APPLY c1.2
+            expect vm APPLY c1.4
+            wait 76
+            send c2 1 approve-commit
+            expect vm BREAK c1.1
+            expect vm BREAK c1.2
+            expect vm BREAK c1.4
+            expect vm APPLY c2.1
+        """)
+
+
 class Crowd(World):
     # Guards against death by crowd: callers beyond the descriptors push out who is idle, never who waits.
     def test_a_crowd_stays_within_the_budget_and_the_busy_are_served(self) -> None:
