--- a/cometdrum/controller.py
+++ b/cometdrum/controller.py
@@ -229,7 +229,7 @@
         # surge's end; what waits now bounds its chance, so that a dry hold is not refused into idling.
         r.place = (a.rank * len(self.s.classes)) % 1.0 if a.rank > 0 else self.rng.random()
         pressed = self.busy >= FULL and (len(self.held) > 1 or self.unread > POLL)
-        if self.memory > MEMORY * self.s.memory_kb:
+        if max(self.memory, r.kb * self.s.run_factor) > MEMORY * self.s.memory_kb:  # also what never fits
             self._refuse(r, "memory")
         elif pressed and r.place < min(self.chance, self._between(self._load())) ** r.value:
             self._refuse(r, "load", self.steady > min(LAST, LAST_PEERS / max(1, self.s.peers)))
--- a/lapishaven/catalog.py
+++ b/lapishaven/catalog.py
@@ -28,13 +28,16 @@
         self.passing: bool | None = None
         self._pause: Wait | None = None
         self._conn: Conn | None = None
-        self._stopped = False
+        self._waits = self._stopped = False
 
     def tell(self, passing: bool) -> None:
         """From now on report this, the first time at once."""
         changed, self.passing = passing != self.passing, passing
         if changed and self._pause is not None:
             self._pause.wake()
+        elif changed and self._conn is not None and self._waits:
+            # The answer that is awaited may never come, and callers go by the old report meanwhile.
+            self._conn.close(End.ABANDONED)
 
     def move(self, address: tuple[str, int]) -> None:
         """From now on the catalog is there; the next report goes there at once."""
@@ -53,9 +56,11 @@
             if told is not None:
                 if self._conn is None or self._conn.end is not None or http is None or not http.reusable:
                     http = yield from self._dial()
+                self._waits = True
                 good = http is not None and (yield from self._report(http, told))
+                self._waits = False
                 self.counters.add("catalog", "reports" if good else "failed reports")
-            if self.passing is told or not good:
+            if self.passing is told:
                 self._pause = Wait(EVERY if good else AGAIN)
                 yield self._pause
                 self._pause = None
--- a/lapishaven/fronts/platform.py
+++ b/lapishaven/fronts/platform.py
@@ -18,6 +18,9 @@
 OPEN_LIMIT = 64  # open requests on a connection past which more are an error; the protocol allows 32
 
 
+SLICE = 16  # messages of one connection in a round, so that a flood on one does not hold up the others
+
+
 class Session:
     """One caller's connection."""
 
@@ -41,7 +44,11 @@
             if isinstance(data, End):
                 return
             try:
-                for message in machine.feed(data or b""):
+                for n, message in enumerate(machine.feed(data or b""), 1):
+                    if n % SLICE == 0:
+                        yield self.host.loop.next_round()
+                    if self.conn.end is not None:
+                        return
                     self._message(message)
             except TooLarge as error:
                 self.conn.write(jsonrpc.error(None, jsonrpc.PARSE_ERROR, str(error)))
--- a/lapishaven/net/loop.py
+++ b/lapishaven/net/loop.py
@@ -46,6 +46,7 @@
         self._timers: list[tuple[float, int, Callable[[], None]]] = []
         self._order = count()
         self._after: dict[Callable[[], None], None] = {}
+        self._next: list[Wait] = []
         self._stopped = False
         self.received = self.sent = 0  # bytes of all connections so far
         self.unsent_limit = 1 << 62
@@ -83,6 +84,12 @@
         """Call it once at the end of this round, after the turn."""
         self._after[callback] = None
 
+    def next_round(self) -> Wait:
+        """A wait that ends in the next round, so that others get their turn first."""
+        wait = Wait()
+        self._next.append(wait)
+        return wait
+
     def stop(self) -> None:
         self._stopped = True
 
@@ -90,6 +97,7 @@
     def run(self, turn: Callable[[float], None], next_at: Callable[[], float | None]) -> None:
         while not self._stopped:
             heads = [self._timers[0][0]] if self._timers else []
+            heads += [0.0] if self._next else []
             due = next_at()
             if due is not None:
                 heads.append(due)
@@ -101,10 +109,13 @@
         # Rounded up to epoll's milliseconds, since it would else wake early and spin.
         ready = self._epoll.poll(span if span <= 0 else span + 0.001)
         self.now = self.clock()
+        waits, self._next = self._next, []
         for fd, mask in ready:
             callback = self._watched.get(fd)
             if callback is not None:
                 self._guarded(callback, mask)
+        for wait in waits:
+            self._guarded(wait.wake)
         while self._timers and self._timers[0][0] <= self.now:
             self._guarded(heappop(self._timers)[2])
         self._guarded(turn, self.now)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -452,3 +452,10 @@
         assert ids(c.handle(id / 250, [arrival(id)]), i.Run) == [id]
         c.handle(id / 250, [i.Finished(id, 0.01, i.Outcome.OK)])
     assert c.memory == 0.0
+
+
+# Guards against a hold full of what can never run: it would have the memory that others are refused for.
+def test_what_never_fits_is_refused_at_read() -> None:
+    c = started(memory_kb=10_000.0)
+    assert ids(c.handle(0.0, [arrival(1, kb=600.0)]), i.Refuse) == [1]
+    assert ids(c.handle(0.0, [arrival(2, kb=500.0)]), i.Run) == [2]
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -616,3 +616,27 @@
         self.server.drain()
         watch(0.1)
         self.assertIn(b'"critical"', reports[-1][1])
+
+    # Guards against callers that go by an old report: the answer to the one before it may never come.
+    def test_a_change_does_not_wait_for_an_answer(self) -> None:
+        self.catalog_up = True
+        self.wait(0.6)
+        self.assertIn(b'"passing"', self.catalog[-1].data)
+        self.server.drain()
+        self.pump()
+        self.assertIn(b'"critical"', self.catalog[-1].data)
+
+
+class Flood(World):
+    # Guards against one connection that holds up the loop with hundreds of messages in one packet.
+    def test_others_have_their_turn_within_a_flood(self) -> None:
+        self.play("expect vm CONNECT 0")
+        loop = self.server.loop
+        self.peer("c1").sock.sendall(b"x\n" * 2000)
+        self.peer("c2").sock.sendall(self.message("c2", "1", "fuzzy-match"))
+        for _ in range(4):
+            loop.round(0, self.server.turn)
+        self.assertIn(self.call("c2", "1"), self.server.broker.by_handle)
+        self.assertLess(self.server.counters.get("platform", "malformed -32700"), 100)
+        self.pump()
+        self.assertEqual(self.server.counters.get("platform", "malformed -32700"), 2000)
