Carry a look whether a commit runs over to the next link, instead of failing it

interpreter._ended gave all looks up; now they are in doubt again and looked at on the next link, and the word of a stop may come over it.

--- a/lapishaven/backends/interpreter.py
+++ b/lapishaven/backends/interpreter.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Generator, Iterable
+from collections.abc import Callable, Generator
 from dataclasses import dataclass
 from typing import Any
 
@@ -37,7 +37,7 @@
     handle: str
     data: bytes
     starts: bool = False
-    once: bool = False  # starts what must not be started twice
+    once: bool = False  # starts what must not be started twice, or looks whether that runs
     end: int = 0  # where it ends in the link's bytes
     at: float = 0.0  # when it was written
 
@@ -242,17 +242,22 @@
         self.counters.add("interpreter", "commands in doubt", len(doubtful))
         self.ready = self._moving = False
         self._fences.clear()
-        self._probed(self._probes)
+        for handle, goes_on in self._probes.items():
+            self._doubt += [Command(handle, b"", once=True)]
+            self._doubt += [] if goes_on else [Command(handle, proto.pause(handle))]
+        self._probes.clear()
 
     # ---- What is in doubt
     def _settle(self) -> None:
         """All ends up to here are read: what is in doubt still runs, or never arrived."""
         doubt, self._doubt = self._doubt, []
         for command in doubt:
-            if command.once:
+            if command.once and command.handle not in self._probes:
                 # Never sent twice, as it might end in between and run again. Stopping tells whether it runs.
                 self._probes[command.handle] = True
-                self._command(Command(command.handle, proto.pause(command.handle)))
+                self._command(Command(command.handle, proto.pause(command.handle), once=True))
+            elif command.once:
+                continue
             elif command.handle in self._probes:
                 self._probes[command.handle] = False  # its caller is gone, so it is not taken up again
             else:
@@ -260,16 +265,16 @@
                 self.counters.add("interpreter", "commands sent again")
                 self._command(command)
         if self._probes:
-            probes = list(self._probes)
-            self.loop.at(self.loop.now + PROBE, lambda: self._look(probes))
+            conn, probes = self._conn, list(self._probes)
+            self.loop.at(self.loop.now + PROBE, lambda: self._look(conn, probes))
 
-    def _look(self, probes: list[str]) -> None:
-        if self.ready and not self._moving:
+    def _look(self, conn: Conn | None, probes: list[str]) -> None:
+        if conn is self._conn and self.ready and not self._moving:
             self._fence(lambda: self._probed(probes))
 
-    def _probed(self, probes: Iterable[str]) -> None:
+    def _probed(self, probes: list[str]) -> None:
         """None of these said that it was stopped, so it does not run, though that is no full proof."""
-        for handle in list(probes):
+        for handle in probes:
             if self._probes.pop(handle, None) is not None:
                 self.counters.add("interpreter", "runs given up")
                 self._over(handle)
@@ -313,11 +318,17 @@
 
     def _value(self, message: proto.Value) -> None:
         outcome = OUTCOMES.get(message.end, Outcome.ERROR)
-        if outcome is Outcome.CANCELLED and self._probes.pop(message.handle, False):
-            return self.resume(message.handle)
+        goes_on = outcome is Outcome.CANCELLED and self._goes_on(message.handle)
         self._over(message.handle)
+        if goes_on:
+            return self.resume(message.handle)
         self.listener.finished(message.handle, outcome, message.spent, message.result)
 
+    def _goes_on(self, handle: str) -> bool:
+        """Whether it was stopped just to see whether it runs; the word of it may come over the next link."""
+        mine = [command.once for command in self._doubt if command.handle == handle]
+        return self._probes.get(handle, bool(mine) and all(mine))
+
     def _over(self, handle: str) -> None:
         self._running.discard(handle)
         self._probes.pop(handle, None)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -164,6 +164,36 @@
         """)
         self.assertEqual(self.server.broker.requests, {})
 
+    # Guards against giving up a run that was stopped for a look as the next link broke, too.
+    def test_a_look_outlives_another_break(self) -> None:
+        self.play("""
+            expect vm CONNECT 0
+            send c1 1 approve-commit
+            send c1 2 approve-commit
+            expect vm APPLY c1.1
+            expect vm APPLY c1.2
+            close vm
+            wait 0.05
+            expect vm CONNECT 0
+            expect vm BREAK c1.1
+            expect vm BREAK c1.2
+            close vm
+            wait 0.05
+            expect vm CONNECT 0
+            expect vm BREAK c1.1
+            expect vm BREAK c1.2
+            send vm STOPPED c1.1
+            send vm STOPPED c1.2
+            expect vm CONTINUE c1.1
+            expect vm CONTINUE c1.2
+            wait 0.2
+            send vm OK c1.1
+            expect c1 result 1
+            send vm OK c1.2
+            expect c1 result 2
+            expect vm nothing
+        """)
+
     # Guards against a run that is taken up again though its caller left while it was in doubt.
     def test_what_is_in_doubt_can_be_forgotten(self) -> None:
         self.play("""
