Drop a link that was dialled to an address which a second reload took back

By reading: backends/interpreter.run took any connection it had dialled, so a reload during the dial of the one before left the link at an address that closes it 1.5 s later. The new test fails on the text before.

--- a/lapishaven/backends/interpreter.py
+++ b/lapishaven/backends/interpreter.py
@@ -184,9 +184,8 @@
             sock = yield from self._dial(self.loop, address, DIAL)
             if isinstance(sock, End):
                 self.counters.add("interpreter", sock.value)
-            elif self._stopped:
-                sock.close()
-                return
+            elif self._stopped or self.address != address:
+                sock.close()  # moved once more, or over, while it was dialled
             else:
                 self._conn = conn = Conn(self.loop, sock, self._ended)
                 hello = proto.connect(self._last)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Generator
+from typing import Any
+
 from scenario import World, configuration
 
 from lapishaven import config
 from lapishaven.backends.interpreter import Command, Ledger
+from lapishaven.net.loop import Loop
 
 
 class Platform(World):
@@ -266,6 +270,29 @@
         self.assertEqual(self.said[-1], "reload: the configuration is not JSON; the old configuration stays")
         self.assertEqual(sorted(self.dialled), [4, 5])
 
+    # Guards against a link to an address that a second reload took back while the first one was dialled.
+    def test_a_second_reload_in_the_middle_of_the_first(self) -> None:
+        self.play("expect vm CONNECT 0")
+        dial = self.server.drivers["interpreter"]._dial
+
+        def slow(loop: Loop, address: tuple[str, int], span: float) -> Generator[Any, Any, Any]:
+            sock = yield from dial(loop, address, span)
+            if address[1] == 4:
+                self.files = configuration(vm="127.0.0.1:2")
+                self.server.reload()
+            return sock
+
+        self.server.drivers["interpreter"]._dial = slow
+        self.files = configuration(vm="127.0.0.1:4")
+        self.dialled.clear()
+        self.play("""
+            send server HUP
+            expect vm CONNECT 0
+            send c1 1 fuzzy-match
+            expect vm APPLY c1.1
+        """)
+        self.assertEqual([port for port in self.dialled if port != 1], [4, 2])
+
     # Guards against commands given to a link on its way out: they wait for the new one.
     def test_what_comes_while_the_link_moves_goes_to_the_new_address(self) -> None:
         self.play("expect vm CONNECT 0")
