--- a/lapishaven/client/peers.py
+++ b/lapishaven/client/peers.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from lapishaven.client.connections import Connection, Phase
 from lapishaven.client.health import ServerHealth
 from lapishaven.client.membership import Member
+from lapishaven.client.settings import Routing
 
 SMOOTH = 0.1  # part of a new time in the smoothed latency
+RISE = 0.3  # the same where it is longer: slowness is believed sooner than its end
+LEAST = 0.1  # of its share that a server keeps however often it refuses
 UNKNOWN = 0.0  # latency of a server that has answered nothing yet
 
 
@@ -26,6 +30,8 @@
     dial_failures: int = 0  # in a row
     dial_at: float = float("-inf")  # not dialled before this
     turn: float = 0.0  # smooth weighted round robin
+    cut: float = 0.0  # part of its share taken away by refusals, as of ``cut_at``
+    cut_at: float = 0.0
     probing: bool = False
 
     def ready(self, limit: int) -> Connection | None:
@@ -45,17 +51,35 @@
         """Connections that are there or on their way."""
         return sum(c.phase in (Phase.DIALING, Phase.READY) for c in self.connections)
 
-    def weight(self, now: float, span: float, start: float) -> float:
-        """Its part of a full share: a cold server's grows evenly to 1 over ``span`` seconds."""
-        if self.cold_since is None or span <= 0:
-            return 1.0
-        age = now - self.cold_since
-        if age >= span:
-            self.cold_since = None
-            return 1.0
-        return start + (1.0 - start) * max(age, 0.0) / span
+    def weight(self, now: float, rules: Routing) -> float:
+        """Its part of a full share: a cold server's grows evenly, and each refusal takes some away for a while."""
+        warm = 1.0
+        if self.cold_since is not None:
+            age = now - self.cold_since
+            if age < rules.slow_start_s:
+                warm = rules.slow_start_from + (1.0 - rules.slow_start_from) * max(age, 0.0) / rules.slow_start_s
+            else:
+                self.cold_since = None
+        if not self.cut:
+            return warm
+        return warm * (1.0 - self._cut(now, rules))
+
+    def _cut(self, now: float, rules: Routing) -> float:
+        left = self.cut * math.exp((self.cut_at - now) / rules.recover_s)
+        return left if left > 0.01 else 0.0
+
+    def refused(self, now: float, rules: Routing) -> None:
+        """It turned a try away, so it has more than its share."""
+        share = max(LEAST, (1.0 - self._cut(now, rules)) * rules.refused_cut)
+        self.cut, self.cut_at = 1.0 - share, now
 
     def took(self, relative: float) -> None:
         """A try was served in ``relative`` times its class's usual time."""
         relative = min(relative, 20.0)
-        self.latency = relative if not self.latency else self.latency + SMOOTH * (relative - self.latency)
+        part = RISE if relative > self.latency else SMOOTH
+        self.latency = relative if not self.latency else self.latency + part * (relative - self.latency)
+
+    def oldest(self, now: float) -> float:
+        """Seconds for which the oldest open try has been out."""
+        sent = (next(iter(c.open.values())).sent for c in self.connections if c.open)
+        return max((now - at for at in sent if at is not None), default=0.0)
--- a/lapishaven/client/policy.py
+++ b/lapishaven/client/policy.py
@@ -42,6 +42,7 @@
 from lapishaven.proto.catalog import Listed, Listing
 
 FULL_SOON = 4  # requests short of the limit at which a further connection is dialled
+SPREAD = 0.01  # s for which calls wait for more servers once the first is there
 LATE = 0.9  # of its class's deadline: a try that got so long and no answer counts against its server
 Hook = Callable[[float, str, dict[str, Any]], None]
 
@@ -96,7 +97,8 @@
         self.membership = Membership(settings.catalog_rules)
         self.peers: dict[str, Peer] = {}
         self.outliers = Outliers(settings.health)
-        self.routing = strategy(settings.routing, random)
+        usual = sum(rule.estimate_s for rule in settings.classes.values()) / len(settings.classes)
+        self.routing = strategy(settings.routing, random, usual)
         self.estimates = Estimates(
             {name: (rule.estimate_s, rule.deadline_s) for name, rule in settings.classes.items()},
             settings.retry.second_after,
@@ -171,10 +173,11 @@
         for name in names:
             if name not in self.peers:
                 member = members[name]
-                self.peers[name] = peer = Peer(name, member, None if member.warm else member.since)
-                self._ensure(now, peer)
+                self.peers[name] = Peer(name, member, None if member.warm else member.since)
         passing = sum(peer.member.listed.passing for peer in self.peers.values())
         self._panic = passing * 2 < len(self.peers)
+        for peer in list(self.peers.values()):
+            self._ensure(now, peer)
         self.routing.members(names)
         self._pump(now)
 
@@ -201,7 +204,8 @@
         due = own if deadline is None else min(deadline, own)
         self._numbers += 1
         call = Call(
-            self._numbers, cls, body, rule.effect == "safe", now, due, row, rule.heap_kb, rule.rank,
+            self._numbers, cls, body, rule.effect == "safe", now, due, row, rule.heap_kb,
+            min(rule.rank + self.random.random() * rule.rank_span, 0.9999),
             key or f"{self.random.getrandbits(128):032x}",
         )  # fmt: skip
         self.open_calls += 1
@@ -461,6 +465,7 @@
                 peer.cold_since = now
                 self._tell(now, "back in", server=peer.name)
         elif reply.ending is Ending.REFUSED:
+            peer.refused(now, self.settings.routing)
             if reply.pushback:
                 peer.health.away = max(peer.health.away, now + reply.pushback)
             self.outliers.answered(peer.health)
@@ -521,6 +526,8 @@
         idle = now - self._active > self.settings.connections.idle_s
         if self.single or self._closed or idle or peer.usable or self.peers.get(peer.name) is not peer:
             return
+        if not (peer.member.listed.passing or self._panic):
+            return  # the list will say when it is back
         if peer.dial_at > now:
             self._at(peer.dial_at, self._ensure_due, peer)
         elif self.dials.take(now):
@@ -557,7 +564,11 @@
                 self._ended(now, attempt, Reply(Ending.UNREACHED, text="no time was left after the dial"))
                 self._close(connection)
         self._settle(now, connection)
-        self._pump(now)
+        if self._waiting_live and any(c.phase is Phase.DIALING for c in self.open_connections()):
+            # The first server to be connected is not to get all that wait for the others too.
+            self._plan_pump(now + SPREAD)
+        else:
+            self._pump(now)
 
     def dial_failed(self, now: float, connection: Connection) -> None:
         """No connection came about, so nothing was sent on it."""
@@ -583,6 +594,7 @@
         self._tell(now, "draining", server=connection.peer.name)
         connection.phase = Phase.DRAINING
         self._away(now, connection.peer)
+        connection.peer.dial_at += self.settings.connections.drain_s
         if self.membership.gone(connection.peer.name):
             self._drop(now, connection.peer.name)
         self._settle(now, connection)
--- a/lapishaven/client/routing.py
+++ b/lapishaven/client/routing.py
@@ -24,11 +24,11 @@
 
 
 class _Weighted:
-    def __init__(self, rules: settings.Routing, random: Random) -> None:
-        self.rules, self.random = rules, random
+    def __init__(self, rules: settings.Routing, random: Random, usual: float = 0.3) -> None:
+        self.rules, self.random, self.usual = rules, random, usual
 
     def weight(self, now: float, peer: Peer) -> float:
-        return peer.weight(now, self.rules.slow_start_s, self.rules.slow_start_from)
+        return peer.weight(now, self.rules)
 
     def members(self, names: Sequence[str]) -> None:
         pass
@@ -58,22 +58,19 @@
 
 
 class TwoChoices(_Weighted):
-    """The better of two drawn at random, by open tries times the latency over the weight.
+    """The better of two (or ``choices``) drawn at random, by open tries times the latency over the weight.
 
     To go by the least of all herds every client to the same server, as all see the same; two draws
-    spread them.
+    spread them. What is still out counts as at least as slow as it has been out.
     """
 
     def cost(self, now: float, peer: Peer) -> float:
-        return (peer.open + 1) * max(peer.latency, 0.25) / self.weight(now, peer)
+        slow = max(peer.latency, peer.oldest(now) / self.usual, 0.25) if peer.open else max(peer.latency, 0.25)
+        return (peer.open + 1) * slow / self.weight(now, peer)
 
     def pick(self, now: float, peers: Sequence[Peer], call: Call) -> Peer:
-        if len(peers) == 1:
-            return peers[0]
-        first = self.random.randrange(len(peers))
-        second = self.random.randrange(len(peers) - 1)
-        one, two = peers[first], peers[second + (second >= first)]
-        return one if self.cost(now, one) <= self.cost(now, two) else two
+        drawn = self.random.sample(peers, min(self.rules.choices, len(peers)))
+        return min(drawn, key=lambda peer: self.cost(now, peer))
 
 
 class Ring:
@@ -100,8 +97,8 @@
     """Reads of one row go to one server while its load stays under ``bound`` times the mean; else to the next
     on the ring. What names no row goes by two choices."""
 
-    def __init__(self, rules: settings.Routing, random: Random) -> None:
-        super().__init__(rules, random)
+    def __init__(self, rules: settings.Routing, random: Random, usual: float = 0.3) -> None:
+        super().__init__(rules, random, usual)
         self._ring = Ring(())
 
     def members(self, names: Sequence[str]) -> None:
@@ -128,6 +125,6 @@
 }
 
 
-def strategy(rules: settings.Routing, random: Random) -> Strategy:
-    """The strategy that the settings name."""
-    return STRATEGIES[rules.strategy](rules, random)
+def strategy(rules: settings.Routing, random: Random, usual: float) -> Strategy:
+    """The strategy that the settings name; ``usual`` is how long a try of any class takes, in seconds."""
+    return STRATEGIES[rules.strategy](rules, random, usual)
--- a/lapishaven/client/settings.py
+++ b/lapishaven/client/settings.py
@@ -22,7 +22,10 @@
     effect: Literal["safe", "once"] = "once"  # "once" must not run twice; unknown work is taken for such
     estimate_s: float = 0.3  # how long a try takes, until the client has seen some
     heap_kb: float = 30.0  # memory that the server books for it while it is held
-    rank: float = 0.5  # from 0 to under 1
+    # Its place from 0 to under 1: each class has a part of it in the order of worth, the lowest first, and calls
+    # are spread over that part, so that a server under load can turn away a share of them and not all or none.
+    rank: float = 0.0
+    rank_span: float = 0.999
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,11 +47,12 @@
     open_limit: int = 32  # requests on one connection, as the protocol has it
     each: int = 2  # connections to one server at the most
     dial_timeout_s: float = 1.0
-    dials_per_s: float = 4.0  # over the whole process, once it has started
-    dial_burst: float = 4.0
+    dials_per_s: float = 2.0  # over the whole process, once it has started
+    dial_burst: float = 2.0
     start_burst: float = 32.0  # dials at once when the process starts
-    redial_s: float = 0.5  # the first pause is drawn from 0 to this, each further one from twice the last
-    redial_max_s: float = 5.0
+    redial_s: float = 1.0  # the first pause is drawn from 0 to this, each further one from twice the last
+    redial_max_s: float = 8.0
+    drain_s: float = 3.0  # a server that leaves is not dialled again before this
     idle_s: float = 10.0  # a connection with nothing open is closed after this
     silence_s: float = 2.5  # with something open and nothing heard for so long, the server is asked how it is
 
@@ -68,6 +72,9 @@
 class Routing:
     strategy: Strategy = "two-choices"
     subset: int = 16  # servers that one process keeps to; 0 for all
+    choices: int = 2  # two-choices: servers drawn, of which the best is taken
+    refused_cut: float = 0.7  # of a server's share is left after each refusal
+    recover_s: float = 5.0  # in which such a cut is made good, but for a third
     bound: float = 1.25  # affinity: the load over the mean at which the next server on the ring takes over
     slow_start_s: float = 17.0  # in which a cold server comes to its full share
     slow_start_from: float = 0.24
@@ -109,8 +116,12 @@
 
 
 # Bounds of numbers by their name: the least, whether that itself is allowed, and the most.
-_UNDER_ONE = {"share", "error_share", "out_share", "drop_share", "second_after", "slow_start_from", "rank"}
-_MAY_BE_ZERO = {"share", "floor_per_s", "rank", "backoff_s", "redial_s", "subset", "caller", "slow_start_s"}
+_UNDER_ONE = {
+    "share", "error_share", "out_share", "drop_share", "second_after", "slow_start_from", "rank", "refused_cut",
+}  # fmt: skip
+_MAY_BE_ZERO = {
+    "rank_span", "share", "floor_per_s", "rank", "backoff_s", "redial_s", "subset", "caller", "slow_start_s", "drain_s",
+}  # fmt: skip
 
 
 def _check_numbers(of: Any, where: str) -> None:
@@ -133,6 +144,8 @@
         _check_numbers(rule, f"classes.{name}.")
         if rule.estimate_s >= rule.deadline_s:
             raise SettingsError(f"classes.{name}.estimate_s is not under its deadline_s")
+        if rule.rank + rule.rank_span > 1 or rule.rank >= 1:
+            raise SettingsError(f"classes.{name}.rank and rank_span reach past 1")
         if rule.heap_kb >= 2000:
             raise SettingsError(f"classes.{name}.heap_kb is not under 2000")
     _check_numbers(settings, "")
