Budget a client's dials by its own traffic, and keep few connections where there is little

A fixed rate of dials for each process adds up: ten thousand thin clients that each have one dial saved up would spend them all in the second after a server dies. Dials are now a share of the process's own first tries, the jitter is no shorter than the time in which it may dial once, and a client keeps four servers connected and one more for each call a second.

--- a/lapishaven/client/attempts.py
+++ b/lapishaven/client/attempts.py
@@ -2,13 +2,28 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from random import Random
 
 from lapishaven.client.model import NEVER_RAN, NOT_TAKEN, Ending, Reply
 from lapishaven.client.settings import Retry
 
-RATE_SPAN = 1.0  # s over which the rate of first tries is smoothed; what may be saved up is the share of this
+RATE_SPAN = 5.0  # s over which the rate of first tries is smoothed
+
+
+class Rate:
+    """Events a second, smoothed exponentially over ``RATE_SPAN``."""
+
+    def __init__(self, now: float) -> None:
+        self._value, self._at = 0.0, now
+
+    def add(self, now: float) -> None:
+        self._value = self.at(now) + 1.0 / RATE_SPAN
+        self._at = max(now, self._at)
+
+    def at(self, now: float) -> float:
+        return self._value * math.exp(min(0.0, self._at - now) / RATE_SPAN)
 
 
 class RetryBudget:
@@ -22,24 +37,22 @@
     def __init__(self, rules: Retry, now: float) -> None:
         self.rules = rules
         self._tokens, self._at = rules.burst, now
-        self._rate = 0.0  # of first tries a second, smoothed
+        self.rate = Rate(now)  # of first tries
 
     def _turn(self, now: float) -> None:
         span = max(0.0, now - self._at)
         self._at = max(now, self._at)
-        self._rate *= max(0.0, 1.0 - span / RATE_SPAN)
-        self._tokens = min(self._tokens + span * self.rules.floor_per_s, self.most)
+        self._tokens = min(self._tokens + span * self.rules.floor_per_s, self.most(now))
 
-    @property
-    def most(self) -> float:
-        """Tokens that may be saved up."""
-        return max(self.rules.burst, self.rules.share * self._rate)
+    def most(self, now: float) -> float:
+        """Tokens that may be saved up: the share of one second's first tries."""
+        return max(self.rules.burst, self.rules.share * self.rate.at(now))
 
     def first(self, now: float) -> None:
         """A first try starts."""
         self._turn(now)
-        self._rate += 1.0 / RATE_SPAN
-        self._tokens = min(self._tokens + self.rules.share, self.most)
+        self.rate.add(now)
+        self._tokens = min(self._tokens + self.rules.share, self.most(now))
 
     def take(self, now: float) -> bool:
         """Whether a repeat may start now; it is then charged."""
--- a/lapishaven/client/connections.py
+++ b/lapishaven/client/connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 from random import Random
@@ -60,20 +61,31 @@
 
 
 class DialBudget:
-    """Dials of the whole process: a token bucket, so that a fleet that comes back is not met by all at once."""
+    """Dials of the whole process, so that a fleet that comes back is not met by everybody at once.
+
+    A token bucket that fills with the process's own traffic: ``dial_share`` of its first tries. So the dials of
+    any number of clients together stay under that share of their arrivals, however thin each one's traffic is.
+    """
 
     def __init__(self, rules: settings.Connections, now: float) -> None:
-        self.rate, self.burst = rules.dials_per_s, rules.dial_burst
+        self.rules = rules
         self._tokens, self._at = max(rules.start_burst, rules.dial_burst), now
 
-    def _turn(self, now: float) -> None:
-        span = max(0.0, now - self._at)
+    def rate(self, calls: float, urgent: bool) -> float:
+        """Dials a second at so many calls a second; ``urgent`` where no server is connected."""
+        rate = self.rules.dial_share * calls + self.rules.dial_floor_per_s
+        return max(rate, self.rules.urgent_per_s if urgent else 1e-3)
+
+    def _turn(self, now: float, calls: float, urgent: bool) -> float:
+        span, rate = max(0.0, now - self._at), self.rate(calls, urgent)
         self._at = max(now, self._at)
-        if self._tokens < self.burst:  # what is over from the start is kept, not added to
-            self._tokens = min(self._tokens + span * self.rate, self.burst)
+        most = max(self.rules.dial_burst, self.rules.dial_share * calls)
+        if self._tokens < most:  # what is over from the start is kept, not added to
+            self._tokens = min(self._tokens + span * rate, most)
+        return rate
 
-    def take(self, now: float) -> bool:
-        self._turn(now)
+    def take(self, now: float, calls: float, urgent: bool = False) -> bool:
+        self._turn(now, calls, urgent)
         if self._tokens < 1.0:
             return False
         self._tokens -= 1.0
@@ -81,15 +93,26 @@
 
     def started(self) -> None:
         """The first connections are made: what the start had left in hand goes."""
-        self._tokens = min(self._tokens, self.burst)
+        self._tokens = min(self._tokens, self.rules.dial_burst)
 
-    def at(self, now: float) -> float:
+    def at(self, now: float, calls: float, urgent: bool = False) -> float:
         """When the next one is there."""
-        self._turn(now)
+        rate = self._turn(now, calls, urgent)
         # A hair later than exactly then, lest rounding leave it a hair short and the look be made in vain.
-        return now if self._tokens >= 1.0 else now + (1.0 - self._tokens) / self.rate + 1e-6
+        return now if self._tokens >= 1.0 else now + (1.0 - self._tokens) / rate + 1e-6
+
+
+def wanted(rules: settings.Connections, calls: float, servers: int) -> int:
+    """Servers to keep connected at so many calls a second: a client of little traffic holds few connections,
+    so that a server that dies loses, and one that returns is dialled for, few of them."""
+    return min(servers, rules.least + math.ceil(calls))
+
 
+def redial(rules: settings.Connections, failures: int, dial_rate: float, random: Random) -> float:
+    """Seconds before a server is dialled again: full jitter under an exponential ceiling.
 
-def redial(rules: settings.Connections, failures: int, random: Random) -> float:
-    """Seconds before a server is dialled again: full jitter under an exponential ceiling."""
-    return random.uniform(0.0, min(rules.redial_s * 2 ** min(failures, 16), rules.redial_max_s))
+    The ceiling starts no lower than the time in which the process may dial once. Thousands of clients that each
+    have one dial saved up would else spend them all in the first second after a server died.
+    """
+    start = max(rules.redial_s, 1.0 / dial_rate)
+    return random.uniform(0.0, min(start * 2 ** min(failures, 16), max(rules.redial_max_s, start)))
--- a/lapishaven/client/policy.py
+++ b/lapishaven/client/policy.py
@@ -42,6 +42,7 @@
 from lapishaven.proto.catalog import Listed, Listing
 
 FULL_SOON = 4  # requests short of the limit at which a further connection is dialled
+LOOK = 0.5  # s between two looks whether the traffic wants more connections
 SPREAD = 0.01  # s for which calls wait for more servers once the first is there
 LATE = 0.9  # of its class's deadline: a try that got so long and no answer counts against its server
 Hook = Callable[[float, str, dict[str, Any]], None]
@@ -112,7 +113,8 @@
         self._numbers = 0
         self._waiting: deque[Call] = deque()
         self._waiting_live = 0
-        self._pump_at = float("inf")
+        self._pump_at = self._dials_at = float("inf")
+        self._look_at = float("-inf")
         self._active = float("-inf")  # when the last call came
         self._panic = False  # most of the list does not pass, so the list is not gone by
         self._closed = False
@@ -176,8 +178,7 @@
                 self.peers[name] = Peer(name, member, None if member.warm else member.since)
         passing = sum(peer.member.listed.passing for peer in self.peers.values())
         self._panic = passing * 2 < len(self.peers)
-        for peer in list(self.peers.values()):
-            self._ensure(now, peer)
+        self._ensure(now)
         self.routing.members(names)
         self._pump(now)
 
@@ -211,9 +212,9 @@
         self.open_calls += 1
         self._tell(now, "call", number=call.number, cls=cls, deadline=due - now)
         idle, self._active = now - self._active > self.settings.connections.idle_s, now
-        if idle:
-            for peer in self.peers.values():
-                self._ensure(now, peer)
+        if idle or now >= self._look_at:
+            self._look_at = now + LOOK
+            self._ensure(now)
         if self._closed:
             self._finish(now, call, Refused(0, 0.0, "the client is closed"))
         elif self._waiting_live >= self.settings.waiting_limit:
@@ -336,8 +337,9 @@
     # ---- Waiting
     def _opens(self, now: float) -> float:
         """When some server may take a request, as far as is known; with none known, at the next poll."""
+        dial = self.dials.at(now, self.repeats.rate.at(now), not self._connected)
         times = [
-            max(peer.health.opens(now), now if peer.usable else max(peer.dial_at, self.dials.at(now)))
+            max(peer.health.opens(now), now if peer.usable else max(peer.dial_at, dial))
             for peer in self.peers.values() if peer.member.listed.passing or self._panic
         ]  # fmt: skip
         return max(now, min(times, default=now + self.settings.catalog_rules.poll_s))
@@ -521,28 +523,41 @@
         self._actions.append(Dial(connection))
         return connection
 
-    def _ensure(self, now: float, peer: Peer) -> None:
-        """Have one connection to each server of the subset, as fast as the budget of dials allows."""
-        idle = now - self._active > self.settings.connections.idle_s
-        if self.single or self._closed or idle or peer.usable or self.peers.get(peer.name) is not peer:
+    @property
+    def _connected(self) -> bool:
+        return any(c.phase is Phase.READY for peer in self.peers.values() for c in peer.connections)
+
+    def _ensure(self, now: float) -> None:
+        """Keep as many servers connected as the traffic wants, as fast as the budget of dials allows."""
+        rules, rate = self.settings.connections, self.repeats.rate.at(now)
+        if self.single or self._closed or now - self._active > rules.idle_s:
             return
-        if not (peer.member.listed.passing or self._panic):
-            return  # the list will say when it is back
-        if peer.dial_at > now:
-            self._at(peer.dial_at, self._ensure_due, peer)
-        elif self.dials.take(now):
+        there = [p for p in self.peers.values() if p.member.listed.passing or self._panic]
+        usable = sum(p.usable > 0 and p.health.standing is not Standing.OUT for p in there)
+        missing = connections.wanted(rules, rate, len(there)) - usable
+        if missing <= 0:
+            return  # else the list, or a further look, will say when one is wanted
+        lacking = sorted((max(p.dial_at, now), self.random.random(), p) for p in there if not p.usable)
+        urgent = not self._connected
+        for dial_at, _, peer in lacking[:missing]:
+            if dial_at > now:
+                return self._plan_dials(dial_at)
+            if not self.dials.take(now, rate, urgent):
+                return self._plan_dials(self.dials.at(now, rate, urgent))
             self._new(now, peer)
-        else:
-            # The next token may go to another server that waits, so this one asks again then.
-            peer.dial_at = self.dials.at(now)
-            self._at(peer.dial_at, self._ensure_due, peer)
 
-    def _ensure_due(self, now: float, peer: Peer) -> None:
-        if peer.dial_at <= now:
-            self._ensure(now, peer)
+    def _plan_dials(self, when: float) -> None:
+        if when < self._dials_at:
+            self._dials_at = when
+            self._at(when, self._dials_due)
+
+    def _dials_due(self, now: float, _: Any) -> None:
+        if self._dials_at <= now:
+            self._dials_at = float("inf")
+            self._ensure(now)
 
     def _further(self, now: float, peer: Peer) -> None:
-        if peer.usable < self.settings.connections.each and self.dials.take(now):
+        if peer.usable < self.settings.connections.each and self.dials.take(now, self.repeats.rate.at(now)):
             self._new(now, peer)
 
     def connected(self, now: float, connection: Connection) -> None:
@@ -583,9 +598,13 @@
         self._lost(now, connection, clean=True)
 
     def _away(self, now: float, peer: Peer) -> None:
-        peer.dial_at = now + connections.redial(self.settings.connections, peer.dial_failures, self.random)
+        peer.dial_at = now + self._redial(now, peer.dial_failures)
         peer.dial_failures += 1
 
+    def _redial(self, now: float, failures: int) -> float:
+        rate = self.dials.rate(self.repeats.rate.at(now), not self._connected)
+        return connections.redial(self.settings.connections, failures, rate, self.random)
+
     def draining(self, now: float, connection: Connection) -> None:
         """The server leaves: nothing new goes there, what is open is finished."""
         connection.heard = now
@@ -598,7 +617,7 @@
         if self.membership.gone(connection.peer.name):
             self._drop(now, connection.peer.name)
         self._settle(now, connection)
-        self._ensure(now, connection.peer)
+        self._ensure(now)
 
     def closed(self, now: float, connection: Connection, clean: bool) -> None:
         """The connection ended by the other side; ``clean`` unless it was reset or could not be read."""
@@ -615,7 +634,7 @@
         if any(attempt.sent is not None and attempt.id not in crossed for attempt in open_tries):
             self._fault(now, peer)
         if peer.dial_at <= now:
-            peer.dial_at = now + connections.redial(self.settings.connections, 0, self.random)
+            peer.dial_at = now + self._redial(now, 0)
         for attempt in open_tries:
             if attempt.sent is None:
                 reply = Reply(Ending.UNREACHED, text="the server could not be reached")
@@ -624,7 +643,7 @@
             else:
                 reply = Reply(Ending.LOST, text="the connection ended before the answer")
             self._ended(now, attempt, reply)
-        self._ensure(now, peer)
+        self._ensure(now)
         self._pump(now)
 
     def _close(self, connection: Connection) -> None:
--- a/lapishaven/client/settings.py
+++ b/lapishaven/client/settings.py
@@ -33,8 +33,8 @@
     """Repeated attempts, over all calls of the process."""
 
     share: float = 0.08  # of first tries that may be repeated
-    floor_per_s: float = 0.05  # repeats a second that are always allowed, so that a quiet client may repeat
-    burst: float = 2.0  # repeats saved up at the most where traffic is thin
+    floor_per_s: float = 0.01  # repeats a second that are always allowed, so that a quiet client may repeat
+    burst: float = 1.0  # repeats saved up at the most where traffic is thin
     tries: int = 3  # of one call, the first included
     backoff_s: float = 0.05  # the first pause is drawn from 0 to this, each further one from twice the last
     backoff_max_s: float = 1.0
@@ -47,8 +47,11 @@
     open_limit: int = 32  # requests on one connection, as the protocol has it
     each: int = 2  # connections to one server at the most
     dial_timeout_s: float = 1.0
-    dials_per_s: float = 2.0  # over the whole process, once it has started
-    dial_burst: float = 2.0
+    least: int = 4  # servers that are kept connected, and one more for each call a second, up to all
+    dial_share: float = 0.08  # dials of the whole process, as a share of its first tries
+    dial_floor_per_s: float = 0.01  # and so many more
+    urgent_per_s: float = 0.5  # at least so many while no server is connected
+    dial_burst: float = 1.0
     start_burst: float = 32.0  # dials at once when the process starts
     redial_s: float = 1.0  # the first pause is drawn from 0 to this, each further one from twice the last
     redial_max_s: float = 8.0
@@ -118,9 +121,11 @@
 # Bounds of numbers by their name: the least, whether that itself is allowed, and the most.
 _UNDER_ONE = {
     "share", "error_share", "out_share", "drop_share", "second_after", "slow_start_from", "rank", "refused_cut",
+    "dial_share",
 }  # fmt: skip
 _MAY_BE_ZERO = {
     "rank_span", "share", "floor_per_s", "rank", "backoff_s", "redial_s", "subset", "caller", "slow_start_s", "drain_s",
+    "dial_share", "dial_floor_per_s",
 }  # fmt: skip
 
 
