Add pools by class with a reserve, a capacity estimate and a port for the Controller

Under 110% demand slow matches crowd out commits, and a box that turns ten times slower keeps limits learnt when it was fast. Pools hold what was admitted, start it in turns of work by share, keep a reserve on top of the limit, and refuse what cannot make its aim with the time to come back. The box's speed is work done over core time spent, so load and slowness are told apart; a change is found by a cumulative sum.

--- a/cometdrum/controller.py
+++ b/cometdrum/controller.py
@@ -10,6 +10,7 @@
 
 import random
 from collections import deque
+from collections.abc import Iterable
 from heapq import heappop, heappush
 
 from cometdrum import interface as i
@@ -39,7 +40,7 @@
 ADVICE = POLL  # s to keep away after a refusal, to twice that at full chance: longer, callers swing in step
 PATIENCE = 0.5  # part of a class's aim that a call, or the wait for its turn, may take
 
-HELD, ATTACHED, RUNNING, STANDING, CALLING = range(5)
+HELD, ATTACHED, RUNNING, STANDING, CALLING, PAUSED = range(6)
 
 
 class _Request:
@@ -62,17 +63,17 @@
 class Controller:
     """Decides for one life of one instance; ``handle`` takes a batch of events and returns the actions."""
 
-    def __init__(self, settings: i.Settings, seed: int) -> None:
+    def __init__(self, settings: i.Settings, seed: int, pools: i.Pools | None = None) -> None:
         if settings.cores < 1 or not settings.classes or settings.memory_kb <= 0:
             raise ValueError("settings need at least one core, one class and some memory")
         if any(c.aim <= 0 or c.deadline <= 0 or c.worth < 0 for c in settings.classes):
             raise ValueError("each class needs an aim and a deadline above 0 and a worth of 0 or more")
-        self.s, self.rng = settings, random.Random(seed)
+        self.s, self.rng, self.pools = settings, random.Random(seed), pools
         self.out: list[i.Action] = []
         self.now = self.born = self.kill_at = 0.0
         self.requests: dict[int, _Request] = {}
         self.held: dict[int, _Request] = {}
-        self.count = [0] * 5
+        self.count = [0] * 6
         self.dues: list[tuple[float, int]] = []
         self.samples: deque[float] = deque(maxlen=WINDOW)
         self.busy = self.chance = self.said = self.unread = self.steady = self.calls_mean = self.memory = 0.0
@@ -142,7 +143,7 @@
     def _sample(self, poll: i.Poll) -> None:
         # Stall guard: at the crowd ceiling nothing more can start however idle the cores look (work or the
         # dependency stands still), so that counts as busy. Harm: long waits for disk look like a stall.
-        stalled = sum(self.count[RUNNING:]) + 1 > self._ceiling()
+        stalled = sum(self.count[RUNNING:PAUSED]) + 1 > self._ceiling()
         self.busy = 1.0 if stalled or poll.cpu is None and self.held else poll.cpu or 0.0
         # Full cores read 1 at any demand above them, so waiting work is added as the busy share that it will
         # become: its wait, unread and held, over the shortest aim. It acts only while the cores are nearly
@@ -159,6 +160,8 @@
         return min(1.0, max(0.0, (load - LOWER) / (UPPER - LOWER)))
 
     def _run_time(self, cls: int) -> float:
+        if self.pools is not None:
+            return self.pools.run_time(cls)
         return self.latency[cls] or 0.2 * self.s.classes[cls].aim
 
     def _worth(self, cls: int) -> float:
@@ -229,17 +232,25 @@
         # surge's end; what waits now bounds its chance, so that a dry hold is not refused into idling.
         r.place = (a.rank * len(self.s.classes)) % 1.0 if a.rank > 0 else self.rng.random()
         pressed = self.busy >= FULL and (len(self.held) > 1 or self.unread > POLL)
+        pools = self.pools
+        full = pools.full(self.now, r.cls, r.aim_at, r.due - MARGIN) if pools is not None else None
         if max(self.memory, r.kb * self.s.run_factor) > MEMORY * self.s.memory_kb:  # also what never fits
             self._refuse(r, "memory")
+        elif full is not None:
+            self._refuse(r, full[0], wait=full[1])
+        elif pools is not None and pools.guards(r.cls):
+            self._keep_if_guarded(r)
         elif pressed and r.place < min(self.chance, self._between(self._load())) ** r.value:
             self._refuse(r, "load", self.steady > min(LAST, LAST_PEERS / max(1, self.s.peers)))
-        elif r.guarded:
-            self._keep(r)
+        else:
+            self._keep_if_guarded(r)
+        if pools is not None and r.id in self.held:
+            pools.hold(self.now, r.id, r.cls, r.kb, r.aim_at, r.due)
 
-    def _refuse(self, r: _Request, reason: str, last: bool = False) -> None:
+    def _refuse(self, r: _Request, reason: str, last: bool = False, wait: float = 0.0) -> None:
         """Turn away what never ran, with advice when to come back; anything else fails."""
         leaving, most = self.drain_from is not None, self.s.advice_max
-        advice = most if leaving or most is None else min(most, ADVICE * (1.0 + self.chance))
+        advice = most if leaving or most is None else min(most, wait or ADVICE * (1.0 + self.chance))
         if r.ran or r.state != HELD:
             self.out.append(i.Fail(r.id, reason))
         else:
@@ -248,9 +259,11 @@
 
     def _let_go(self, r: _Request) -> None:
         """Nobody waits for it any more: what is held is over, what runs is stopped where that is allowed."""
-        if r.state in (HELD, ATTACHED):
+        if r.state in (HELD, ATTACHED, PAUSED):
             self._drop_key(r)
             self._move(r, None)
+            if self.pools is not None:
+                self.pools.dropped(r.id)
             return
         if r.state == CALLING and not r.answered:
             self.lingering.append(self.now + self.s.linger)
@@ -270,21 +283,37 @@
             elif self._hopeless(r):
                 self._refuse(r, "hopeless")
         at_call = self.count[STANDING] + self.count[CALLING]
-        room = min(self.limit, self._ceiling() - at_call) - self.count[RUNNING]
+        # Pools bound what runs themselves, under the same ceiling.
+        limit = self.limit if self.pools is None else self._ceiling()
+        room = min(limit, self._ceiling() - at_call) - self.count[RUNNING]
         if room < 1:
             return
-        for r in sorted(self.held.values(), key=lambda r: (r.aim_at < self.now, -r.value, r.aim_at)):
+        for r in self._order():
             if room < 1:
                 return
-            more = r.kb * (self.s.run_factor - 1.0)
+            more = r.kb * (self.s.run_factor - 1.0) if r.state == HELD else 0.0
             if self.memory + more > MEMORY * self.s.memory_kb or r.guarded and not r.kept:
                 continue
             r.ran = True
             self._move(r, RUNNING)
             self.out.append(i.Run(r.id))
             room -= 1
+            if self.pools is not None:
+                self.pools.started(self.now, r.id)
+
+    def _order(self) -> Iterable[_Request]:
+        """By the pools' turns, where there are any; they hold what was paused as well."""
+        if self.pools is not None:
+            return (self.requests[id] for id in self.pools.order(self.now))
+        return sorted(self.held.values(), key=lambda r: (r.aim_at < self.now, -r.value, r.aim_at))
 
     def _finished(self, r: _Request, event: i.Finished) -> None:
+        if self.pools is not None:
+            stopped = event.outcome is i.Outcome.CANCELLED and not r.answered
+            if stopped and self.pools.suspended(self.now, r.id):
+                self._move(r, PAUSED)
+                return
+            self.pools.ended(self.now, r.id, event.outcome is i.Outcome.OK)
         if event.outcome is i.Outcome.OK and r.state == RUNNING and not r.answered:
             self._learn(r.cls, event.spent)
         if event.outcome is i.Outcome.CANCELLED and not r.answered:
@@ -343,6 +372,10 @@
                 break
 
     # ---- Keys
+    def _keep_if_guarded(self, r: _Request) -> None:
+        if r.guarded:
+            self._keep(r)
+
     def _keep(self, r: _Request) -> None:
         """An entry before the run, to the window's end, or a refusal; booked only for classes with keys."""
         size = self.s.key_kb if r.spec.effect is i.Effect.KEYED else 0.0
@@ -434,6 +467,8 @@
         self.out.append(i.Timer(POLL, 0))
         self._sample(poll)
         self._step_limit(poll)
+        if self.pools is not None:
+            self.out += [i.Halt(id) for id in self.pools.poll(self.now, poll) if id in self.requests]
         self.calls_mean += POLL / max(POLL, self.s.call_window) * (self._calls() - self.calls_mean)
         for n, tenant in enumerate(self.s.tenants):
             self.tenant_rate[n] += POLL / TENANT_SPAN * (self.tenant_seen[n] / POLL - self.tenant_rate[n])
--- a/lapishaven/cli.py
+++ b/lapishaven/cli.py
@@ -31,20 +31,27 @@
     raise typer.Exit(2)
 
 
-def _load(path: str | None, uwsgi: str | None, terms: str | None) -> config.Files:
+PoolsFile = Annotated[
+    str | None, typer.Option("--pools", help="File of pools by class; else the module decides without them.")
+]
+
+
+def _load(path: str | None, uwsgi: str | None, terms: str | None, pools: str | None) -> config.Files:
     try:
-        return config.load_all(path, uwsgi, terms)
+        return config.load_all(path, uwsgi, terms, pools)
     except config.ConfigError as error:
         _fail(str(error))
 
 
 @app.command()
-def serve(path: File = None, uwsgi: Uwsgi = None, contracts: Terms = None, record: Record = None) -> None:
+def serve(
+    path: File = None, uwsgi: Uwsgi = None, contracts: Terms = None, record: Record = None, pools: PoolsFile = None
+) -> None:
     """Serve until SIGTERM; SIGHUP reads the files again, SIGUSR1 prints the counters."""
     from lapishaven.counters import Counters
     from lapishaven.server import Server
 
-    loaded, counters, store = _load(path, uwsgi, contracts), Counters(), None
+    loaded, counters, store = _load(path, uwsgi, contracts, pools), Counters(), None
     if record is not None:
         import sqlite3
 
@@ -57,7 +64,7 @@
     try:
         server = Server(
             loaded.config, loaded.front, loaded.backend, contracts=loaded.contracts, store=store,
-            counters=counters, files=lambda: config.load_all(path, uwsgi, contracts),
+            counters=counters, files=lambda: config.load_all(path, uwsgi, contracts, pools), pools=loaded.pools,
         )  # fmt: skip
     except OSError as error:
         _fail(f"cannot listen: {error.strerror}")
@@ -65,15 +72,22 @@
 
 
 @app.command("check-config")
-def check_config(path: File = None, uwsgi: Uwsgi = None, contracts: Terms = None) -> None:
+def check_config(
+    path: File = None, uwsgi: Uwsgi = None, contracts: Terms = None, pools: PoolsFile = None
+) -> None:  # fmt: skip
     """Check the files and say what they hold."""
-    loaded = _load(path, uwsgi, contracts)
+    loaded = _load(path, uwsgi, contracts, pools)
     name, (host, port), specs = loaded.config.name, loaded.config.listen, loaded.config.settings.classes
     print(f"{name}: listens on {host}:{port}")
     print("classes " + ", ".join(f"{c.name} ({c.effect.value}, {c.deadline:g} s)" for c in specs))
     front, backend = loaded.front, loaded.backend
     print(f"uwsgi front {front.listen if front else 'off'}, backend {backend.address if backend else 'off'}")
     print(f"contracts {'off' if loaded.contracts is None else len(loaded.contracts)}")
+    if loaded.pools is not None:
+        for pool in loaded.pools.pools:
+            print(f"pool {pool.name}: {pool.share:.0%}, up to {pool.ceiling:.0%}, {', '.join(pool.classes)}")
+        if (kept := loaded.pools.reserve) is not None:
+            print(f"reserve: {kept.share:.0%} on top, for pool {kept.pool}")
 
 
 @app.command()
--- a/lapishaven/config.py
+++ b/lapishaven/config.py
@@ -8,12 +8,15 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from cometdrum import interface as i
 from cometdrum import wire
 from lapishaven.core.contracts import Contract
 
+if TYPE_CHECKING:
+    from lapishaven.pools.settings import PoolSettings
+
 Address = tuple[str, int]
 
 
@@ -121,14 +124,27 @@
     front: UwsgiFront | None = None
     backend: UwsgiBackend | None = None
     contracts: list[Contract] | None = None
+    pools: PoolSettings | None = None
 
 
-def load_all(path: str | None = None, uwsgi_file: str | None = None, terms: str | None = None) -> Files:
+def load_all(
+    path: str | None = None, uwsgi_file: str | None = None, terms: str | None = None, pools: str | None = None
+) -> Files:
     """Every file that a command names, checked against the others."""
     config = load(path)
     front, backend = uwsgi(uwsgi_file) if uwsgi_file else (None, None)
     routes = {"interpreter"} | ({"uwsgi"} if backend else set())
-    return Files(config, front, backend, contracts(terms, config.settings, routes) if terms else None)
+    terms_there = contracts(terms, config.settings, routes) if terms else None
+    return Files(config, front, backend, terms_there, _pools(pools, config.settings) if pools else None)
+
+
+def _pools(path: str, settings: i.Settings) -> PoolSettings:
+    from lapishaven.pools import settings as pools
+
+    try:
+        return pools.load(path, [spec.name for spec in settings.classes], settings.cores)
+    except pools.PoolsError as error:
+        raise ConfigError(str(error)) from None
 
 
 def _toml(path: str) -> dict[str, Any]:
--- a/lapishaven/core/broker.py
+++ b/lapishaven/core/broker.py
@@ -52,10 +52,11 @@
         routes: Mapping[str, Backend] | None = None,
         record: Record = lambda event, sub, detail: None,
         memory: int = 64 * 1024 * 1024,
+        pools: i.Pools | None = None,
     ) -> None:
         self.settings, self.backend, self.signals, self.counters = settings, backend, signals, counters
         self.contracts, self.routes, self._record = contracts, routes or {}, record
-        self.controller = Controller(settings, seed)
+        self.controller = Controller(settings, seed, pools)
         self.classes = {spec.name: n for n, spec in enumerate(settings.classes)}
         self.requests: dict[int, Request] = {}
         self.by_handle: dict[str, Request] = {}
--- a/lapishaven/server.py
+++ b/lapishaven/server.py
@@ -12,8 +12,9 @@
 from collections.abc import Callable
 from dataclasses import replace
 from random import Random
+from typing import TYPE_CHECKING
 
-from cometdrum.interface import Outcome
+from cometdrum.interface import Outcome, Settings
 from lapishaven.backends import Driver
 from lapishaven.backends.interpreter import Interpreter
 from lapishaven.backends.uwsgi import Uwsgi
@@ -30,6 +31,9 @@
 from lapishaven.net.loop import Loop
 from lapishaven.store import Entry, Store
 
+if TYPE_CHECKING:
+    from lapishaven.pools import Pools, PoolSettings
+
 RESERVE = 32  # descriptors for the program itself: streams, epoll, doors, links and those on their way out
 ATTEMPTS = 64  # and for attempts of the uwsgi backend, where there is one
 WHOLE = 2.0  # s for a message to come whole, the first one counted from the accept
@@ -54,6 +58,7 @@
         store: Store | None = None,
         counters: Counters | None = None,
         files: Callable[[], Files] | None = None,
+        pools: PoolSettings | None = None,
     ) -> None:
         self.config, self.loop = config, loop or Loop()
         self.log = log or (lambda text: print(text, file=sys.stderr, flush=True))
@@ -66,6 +71,7 @@
         self.loop.unsent_limit = config.memory_mb * 1024 * 1024 // UNSENT_PART
         self.classes = {spec.name: n for n, spec in enumerate(config.settings.classes)}
         self.store, self._contracts, self._files = store, contracts, files
+        self._pool_rules, self.pools = pools, None  # type: PoolSettings | None, Pools | None
         self.drivers: dict[str, Driver] = {}
         if backend is not None:
             spans = {spec.name: spec.deadline for spec in config.settings.classes}
@@ -104,12 +110,20 @@
             contracts = Contracts(self._contracts) if self._contracts is not None else None
             self.broker = Broker(
                 settings, self.config.seed, self.backend, self, self.counters, contracts, self.drivers,
-                self._record, self.config.memory_mb * 1024 * 1024,
+                self._record, self.config.memory_mb * 1024 * 1024, self._make_pools(settings),
             )  # fmt: skip
             for cls, key, age in self.store.started(ONCE_LIFE) if self.store is not None else ():
                 if cls in self.classes:
                     self.broker.remember(self.loop.now, cls, key, age)
 
+    def _make_pools(self, settings: Settings) -> Pools | None:
+        if self._pool_rules is None:
+            return None
+        from lapishaven.pools import Pools
+
+        self.pools = Pools(self._pool_rules, settings, self.loop.now)
+        return self.pools
+
     def finished(self, handle: str, outcome: Outcome, spent: float, result: bytes) -> None:
         if self.broker is not None:
             self.broker.finished(handle, outcome, spent, result)
@@ -208,6 +222,10 @@
             self._contracts = files.contracts
             if self.broker is not None:
                 self.broker.renew(Contracts(files.contracts))
+        if files.pools is not None and self._pool_rules is not None:
+            self._pool_rules = files.pools
+            if self.pools is not None:
+                self.pools.renew(self.loop.now, files.pools)
         self.config = replace(
             old, interpreter=new.interpreter, catalog=new.catalog, stop_span=new.stop_span
         )
@@ -278,6 +296,8 @@
     def tell_counters(self) -> None:
         """Log all counters, with the bytes that went through so far."""
         self.counters.groups["bytes"] = Counter(received=self.loop.received, sent=self.loop.sent)
+        if self.pools is not None:
+            self.counters.groups["pools"] = Counter(self.pools.state())
         self.log(self.counters.line())
 
     def _signals(self, numbers: bytes) -> None:
