Measure pools against the module alone and fixed partitions, and test their hard cases

Ruled out: evidence from classes not yet known, which made a wrong first guess of the work look like a slow box and confirm itself.

--- a/lapishaven/lab/clientsim.py
+++ b/lapishaven/lab/clientsim.py
@@ -341,7 +341,8 @@
         surge = max((s.factor for s in self.steps if s.what == "surge"), default=1.0)
         return {
             "spec": asdict(self.spec), "rate": round(self.rate, 1), "outcomes": dict(self.outcomes),
-            "worth": round(self.worth / self.asked, 4), "commit_worth": round(self.commit_worth / self.commits, 4),
+            "worth": round(self.worth / max(self.asked, 1e-9), 4),
+            "commit_worth": round(self.commit_worth / max(self.commits, 1e-9), 4),
             "storm": round(most_in_a_second(load, 0.0, until) / (self.rate * surge), 3),
             "storm_connects": round(most_in_a_second(self.connects, 0.0, until) / (self.rate * surge), 3),
             "tries_per_call": round(sum(self.first.values()) / max(1, self.first[False]), 3),
--- a/lapishaven/lab/emulator.py
+++ b/lapishaven/lab/emulator.py
@@ -19,6 +19,7 @@
 from cometdrum.interface import Outcome
 from lapishaven.client.model import Ending, Reply
 from lapishaven.client.settings import Settings as ClientSettings
+from lapishaven.client.settings import Strategy
 from lapishaven.core.broker import Broker
 from lapishaven.core.model import Answer, Kind, Submission
 from lapishaven.counters import Counters
@@ -51,6 +52,7 @@
     doubled_at: float = -1.0  # from when the first class's work is twice what it was
     only: str = ""  # one class alone
     retries: int = 3
+    strategy: Strategy = "round-robin"  # of the callers, who are plain ones here
 
 
 def pool_rules(cores: int, light: bool) -> PoolSettings:
@@ -263,7 +265,9 @@
         self.mean_work = sum(k.share * (k.work.least + k.work.most) / 2 for k in self.kinds)
         rules = site.rules(self.kinds)
         base = ClientSettings(rules, catalog="127.0.0.1:1")
-        base = replace(base, retry=replace(base.retry, tries=spec.retries))
+        base = replace(
+            base, retry=replace(base.retry, tries=spec.retries), routing=replace(base.routing, strategy=spec.strategy)
+        )  # fmt: skip
         self._plans: dict[str, float] = {}
         super().__init__(spec, base)
         random = Random(spec.seed ^ 0xB0)
--- a/lapishaven/lab/fleet.py
+++ b/lapishaven/lab/fleet.py
@@ -257,8 +257,8 @@
     The two processes share the system's monotonic clock, by which the script starts.
     """
 
-    def __init__(self, servers: int, seed: int, *, callers: int = 4, script: str = "") -> None:
-        self._spec = {"servers": servers, "seed": seed, "callers": callers, "script": script}
+    def __init__(self, servers: int, seed: int, *, callers: int = 4, script: str = "", pools: bool = False) -> None:
+        self._spec = {"servers": servers, "seed": seed, "callers": callers, "script": script, "pools": pools}
         self._process: asyncio.subprocess.Process | None = None
 
     async def __aenter__(self) -> RemoteFleet:
@@ -308,7 +308,8 @@
     loop = asyncio.get_running_loop()
     reader = asyncio.StreamReader()
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
-    async with Fleet(spec["servers"], spec["seed"], callers=spec["callers"]) as fleet:
+    extra = ["--pools", str(ROOT / "deploy/pools.toml")] if spec["pools"] else []
+    async with Fleet(spec["servers"], spec["seed"], callers=spec["callers"], extra=extra) as fleet:
         await fleet.ready()
         steps = parse(spec["script"], fleet.names, spec["seed"])
         print(json.dumps({
--- a/lapishaven/lab/trial.py
+++ b/lapishaven/lab/trial.py
@@ -42,6 +42,7 @@
     load: float = 0.55  # of the warm cores' capacity
     script: str = ""
     seed: int = 1
+    pools: bool = False  # serve with deploy/pools.toml
 
 
 @dataclass(slots=True)
@@ -78,7 +79,7 @@
     stack = AsyncExitStack()
     async with stack:
         fleet = await stack.enter_async_context(
-            RemoteFleet(spec.servers, spec.seed, callers=spec.callers, script=spec.script)
+            RemoteFleet(spec.servers, spec.seed, callers=spec.callers, script=spec.script, pools=spec.pools)
         )
         tap.not_servers.add(fleet.catalog)
         steps = parse(spec.script, fleet.names, spec.seed)
--- a/lapishaven/pools/capacity.py
+++ b/lapishaven/pools/capacity.py
@@ -17,6 +17,8 @@
 DRIFT = 0.3  # of the core time spent, by which the work may fall short without being evidence of a slow box
 ALARM = 10.0  # mean works of evidence at which the box counts as changed
 LEAST_BUSY = 0.8  # core-seconds in the fast window from which its speed is believed
+RATIO = 0.25  # part of a new run in the ratio of a class's last runs to its usual work
+RECENT = 1.0  # s since a class's last run in which that ratio says something
 LEVEL = 0.5  # runs a core in one step of crowding
 KNEE = 0.88  # of the best efficiency under which a level of crowding costs more than it brings
 EFFICIENCY = 0.03  # part of a new sample in a level's efficiency
@@ -64,9 +66,13 @@
     _levels: list[Level] = field(default_factory=lambda: [Level() for _ in range(24)])
     _work: list[float] = field(init=False)
     _known: list[int] = field(init=False)
+    _ratio: list[float] = field(init=False)  # by class: what its last runs attained, over its usual work
+    _ratio_at: list[float] = field(init=False)
 
     def __post_init__(self) -> None:
-        self._work, self._known = list(self.first_work), [0] * len(self.first_work)
+        count = len(self.first_work)
+        self._work, self._known = list(self.first_work), [0] * count
+        self._ratio, self._ratio_at = [1.0] * count, [float("-inf")] * count
         self.now = self.began
 
     # ---- What happens on the box
@@ -94,21 +100,24 @@
         self._active -= 1
         attained = self._clock - run.attained
         if whole:
-            self._done += run.work
+            known = self._known[run.cls] >= FIRST
+            # Of a class that is not known yet no run is evidence of anything.
+            self._done += run.work if known else attained * self.speed_now()
             self._learn(run.cls, attained)
         return attained
 
     def _learn(self, cls: int, attained: float) -> None:
-        """The usual work, from runs at the usual speed; what a slow or cold box attains says nothing of it."""
-        warm = self.speed_now()
+        """The usual work, from runs at the usual speed; what a slow box attains says nothing of it."""
+        work = attained * self._warm(self.now)
         if self._known[cls] < FIRST:
             self._known[cls] += 1
-            part = 1.0 / self._known[cls]
-        elif 0.7 < warm < 1.4:
-            part = SLOW
-        else:
+            self._work[cls] += (work - self._work[cls]) / self._known[cls]
             return
-        self._work[cls] += part * (attained * max(warm, FLOOR) - self._work[cls])
+        ratio = work * self.speed / max(self._work[cls], 1e-6)
+        self._ratio[cls] += RATIO * (min(ratio, 5.0) - self._ratio[cls])
+        self._ratio_at[cls] = self.now
+        if self.speed == 1.0 and self._down < ALARM / 3:
+            self._work[cls] += SLOW * (work - self._work[cls])
 
     def sample(self, now: float) -> bool:
         """At each poll: weigh the evidence; true if the box was found to have changed its speed."""
@@ -132,6 +141,8 @@
     def _changed(self, now: float) -> bool:
         """The evidence is in: take the fast window's speed, if it really is another one."""
         self._down = self._up = 0.0
+        if self._one_class(now):
+            return False
         found = self.fast()
         if found is None:
             return False
@@ -145,6 +156,19 @@
         self.alarm_at = now
         return True
 
+    def _one_class(self, now: float) -> bool:
+        """Whether it is not the box: one class's runs take longer (or less) while others' are as usual. Then its
+        work is another from now on."""
+        recent = [cls for cls, at in enumerate(self._ratio_at) if now - at < RECENT]
+        odd = [cls for cls in recent if not 0.7 < self._ratio[cls] < 1.4]
+        usual = [cls for cls in recent if 0.8 < self._ratio[cls] < 1.25]
+        if not odd or not usual:
+            return False
+        for cls in odd:
+            self._work[cls] *= self._ratio[cls]
+            self._ratio[cls] = 1.0
+        return True
+
     def fast(self) -> float | None:
         """Work done over core time spent in the last second; ``None`` where too little was spent to tell."""
         spent = sum(s for _, s, _ in self._window)
