Add an embedded log-structured store that survives cuts, flips, power loss and full disks

Keyed results and the record's effects lived in memory, or behind a queue that a crash may lose. The store appends batches in frames with CRC32C, commits in groups off the caller's thread, finds keys by sorted columns of 128-bit hashes with a dict over them, opens from hints, and compacts a segment at a time. A tombstone goes only once no segment made before it is left.

--- /dev/null
+++ b/lapishaven/storage/__init__.py
@@ -0,0 +1,11 @@
+"""An embedded, single-writer, log-structured store for many small keys. Usable alone::
+
+    with Store.open("results") as store:
+        store.put(b"key", b"value").result()      # durable once the future is done
+        store.get(b"key")
+"""
+
+from lapishaven.storage.errors import Damage, StoreBroken, StoreError, StoreFull, StoreLocked
+from lapishaven.storage.store import Limits, Store
+
+__all__ = ["Damage", "Limits", "Store", "StoreBroken", "StoreError", "StoreFull", "StoreLocked"]
