Keep keyed results over restarts: intent before the run, result before the reply

A commit that was started was remembered in memory alone, so a retry after a kill could charge a second time. After a kill a repeat gets the original answer; an intent without a result is never run again and never said to be refused; what never ran frees its key. At the bound or while the store stands still, commits are refused unrun with a time, and safe work goes on. Off on the platform, which has no lasting disk.

Tested with the real server over a store that commits when the scenario says so, killed in each place, and with kill -9 of the real process in five lives: no body run twice, once served always the same answer.

--- a/lapishaven/cli.py
+++ b/lapishaven/cli.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import sys
-from typing import Annotated, NoReturn
+from typing import TYPE_CHECKING, Annotated, NoReturn
 
 import typer
 
 import lapishaven
 from lapishaven import config
 
+if TYPE_CHECKING:
+    from lapishaven.recovery import KeyedResults
+
 app = typer.Typer(
     help="The match server of Abay Lingua Memory Services.", no_args_is_help=True, add_completion=False
 )
@@ -43,10 +46,34 @@
         _fail(str(error))
 
 
+Kept = Annotated[
+    str | None, typer.Option("--storage", help="File that has keyed results kept over restarts; else they are not.")
+]
+
+
+def _keeper(path: str) -> KeyedResults:
+    """The keyed results of earlier lives, from the store that the file names."""
+    try:
+        rules = config.storage(path)
+    except config.ConfigError as error:
+        _fail(str(error))
+    try:
+        from lapishaven.recovery import KeyedResults
+        from lapishaven.storage import Limits, Store, StoreError
+    except ImportError:
+        _fail("keeping results needs lapishaven[storage]")
+    try:
+        store = Store.open(rules.directory, Limits(total=int(rules.total_mb * 1024 * 1024)))
+    except (StoreError, OSError) as error:
+        _fail(f"cannot open {rules.directory}: {error}")
+    return KeyedResults(store, rules.life_s, rules.limit)
+
+
 @app.command()
 def serve(
-    path: File = None, uwsgi: Uwsgi = None, contracts: Terms = None, record: Record = None, pools: PoolsFile = None
-) -> None:
+    path: File = None, uwsgi: Uwsgi = None, contracts: Terms = None, record: Record = None, pools: PoolsFile = None,
+    kept: Kept = None,
+) -> None:  # fmt: skip
     """Serve until SIGTERM; SIGHUP reads the files again, SIGUSR1 prints the counters."""
     from lapishaven.counters import Counters
     from lapishaven.server import Server
@@ -61,10 +88,12 @@
             store = Sqlite(record, lambda: counters.add("store", "dropped"))
         except sqlite3.Error as error:
             _fail(f"cannot open {record}: {error}")
+    keeper = _keeper(kept) if kept is not None else None
     try:
         server = Server(
             loaded.config, loaded.front, loaded.backend, contracts=loaded.contracts, store=store,
             counters=counters, files=lambda: config.load_all(path, uwsgi, contracts, pools), pools=loaded.pools,
+            keeper=keeper,
         )  # fmt: skip
     except OSError as error:
         _fail(f"cannot listen: {error.strerror}")
@@ -73,7 +102,7 @@
 
 @app.command("check-config")
 def check_config(
-    path: File = None, uwsgi: Uwsgi = None, contracts: Terms = None, pools: PoolsFile = None
+    path: File = None, uwsgi: Uwsgi = None, contracts: Terms = None, pools: PoolsFile = None, kept: Kept = None
 ) -> None:  # fmt: skip
     """Check the files and say what they hold."""
     loaded = _load(path, uwsgi, contracts, pools)
@@ -83,11 +112,17 @@
     front, backend = loaded.front, loaded.backend
     print(f"uwsgi front {front.listen if front else 'off'}, backend {backend.address if backend else 'off'}")
     print(f"contracts {'off' if loaded.contracts is None else len(loaded.contracts)}")
+    if kept is not None:
+        try:
+            rules = config.storage(kept)
+        except config.ConfigError as error:
+            _fail(str(error))
+        print(f"keyed results in {rules.directory}, for {rules.life_s:g} s, up to {rules.limit}")
     if loaded.pools is not None:
         for pool in loaded.pools.pools:
             print(f"pool {pool.name}: {pool.share:.0%}, up to {pool.ceiling:.0%}, {', '.join(pool.classes)}")
-        if (kept := loaded.pools.reserve) is not None:
-            print(f"reserve: {kept.share:.0%} on top, for pool {kept.pool}")
+        if (reserve := loaded.pools.reserve) is not None:
+            print(f"reserve: {reserve.share:.0%} on top, for pool {reserve.pool}")
 
 
 @app.command()
--- a/lapishaven/config.py
+++ b/lapishaven/config.py
@@ -147,6 +147,33 @@
         raise ConfigError(str(error)) from None
 
 
+@dataclass(frozen=True, slots=True)
+class StorageRules:
+    """Where keyed results are kept, and how many for how long."""
+
+    directory: str
+    life_s: float
+    total_mb: float
+    limit: int
+
+
+def storage(path: str) -> StorageRules:
+    """The checked settings of a storage file."""
+    data = _toml(path)
+    keys = {"directory", "life_s", "total_mb", "limit"}
+    if set(data) != keys:
+        raise ConfigError(f"{path}: it needs exactly {', '.join(sorted(keys))}")
+    if not isinstance(data["directory"], str) or not data["directory"].startswith("/"):
+        raise ConfigError(f"{path}: directory is no path from the root")
+    try:
+        life, total, limit = (_positive(data, name) for name in ("life_s", "total_mb", "limit"))
+    except ConfigError as error:
+        raise ConfigError(f"{path}: {error}") from None
+    if life < 900:
+        raise ConfigError(f"{path}: life_s is under the 900 s for which a try may return")
+    return StorageRules(data["directory"], life, total, int(limit))
+
+
 def _toml(path: str) -> dict[str, Any]:
     try:
         return tomllib.loads(Path(path).read_text())
--- a/lapishaven/core/broker.py
+++ b/lapishaven/core/broker.py
@@ -17,6 +17,7 @@
 from lapishaven.core.model import (
     Answer,
     Backend,
+    Keeper,
     Kind,
     Record,
     Reply,
@@ -53,9 +54,11 @@
         record: Record = lambda event, sub, detail: None,
         memory: int = 64 * 1024 * 1024,
         pools: i.Pools | None = None,
+        keeper: Keeper | None = None,
     ) -> None:
         self.settings, self.backend, self.signals, self.counters = settings, backend, signals, counters
         self.contracts, self.routes, self._record = contracts, routes or {}, record
+        self.keeper = keeper
         self.controller = Controller(settings, seed, pools)
         self.classes = {spec.name: n for n, spec in enumerate(settings.classes)}
         self.requests: dict[int, Request] = {}
@@ -92,6 +95,13 @@
                 self._send(sub, reply, Answer(kind, b"", terms.reason, terms.wait))
                 return None
             span, backend = min(span, terms.deadline), self.routes[terms.route]
+        if self._kept(sub):
+            kept = self.keeper.find(spec.name, sub.key or "") if self.keeper is not None else None
+            if kept is not None and kept.standing.value == "done":
+                # Whichever life of this server ran it, the first answer is the answer.
+                self.counters.add("requests", "answered from its kept result")
+                self._send(sub, reply, Answer(Kind.SERVED, kept.result))
+                return None
         arrived = now - min(max(sub.age, 0.0), span)
         r = Request(self._new_id(), sub, reply, arrived, arrived + span, backend)
         self.requests[r.id] = self.by_handle[sub.handle] = r
@@ -134,18 +144,59 @@
         if outcome is i.Outcome.CANCELLED and r.reply is not None:
             r.state = State.PAUSED  # the module says what becomes of it
             return
+        spec, key = self.settings.classes[r.sub.cls], r.sub.key or ""
+        if outcome is i.Outcome.OK and self.keeper is not None and self._kept(r.sub):
+            r.state = State.RECORDING
+            self.keeper.done(spec.name, key, result, lambda good: self._recorded(r, result, good))
+            return
         if outcome is i.Outcome.OK:
             self._answer(r, Answer(Kind.SERVED, result))
         elif outcome in NEVER_RAN:
+            if self.keeper is not None and self._kept(r.sub):
+                self.keeper.void(spec.name, key)
             self.tries.release(r.sub.handle)
             self.effects.release((r.sub.cls, r.sub.key))
             r.ran = False
             self._record("unrun", r.sub, outcome.name.lower())
             self._answer(r, Answer(Kind.REFUSED, reason="the backend did not take it", pushback=BACKEND_WAIT))
         else:
+            if self.keeper is not None and self._kept(r.sub):
+                self.keeper.failed(spec.name, key)
             self._answer(r, Answer(Kind.FAILED, reason=f"the run ended: {outcome.name.lower()}"))
         self._close(r, result if outcome is i.Outcome.OK else None)
 
+    def _kept(self, sub: Submission) -> bool:
+        """Whether its result is kept beyond this life."""
+        safe = self.settings.classes[sub.cls].effect is i.Effect.SAFE
+        return self.keeper is not None and sub.key is not None and not safe
+
+    def _recorded(self, r: Request, result: bytes, good: bool) -> None:
+        """Its result is durable, or cannot be: that it ran is sure either way."""
+        if r.state is not State.RECORDING:
+            return
+        if good:
+            self._answer(r, Answer(Kind.SERVED, result))
+        else:
+            self.counters.add("requests", "result not kept")
+            self._answer(r, Answer(Kind.FAILED, reason="it ran, and its result could not be kept"))
+        self._close(r, result if good else None)
+
+    def _intended(self, now: float, r: Request, good: bool) -> None:
+        """Its intent is durable, or is not: only then may it run."""
+        if r.state is not State.INTENDING:
+            return
+        if good and r.reply is not None:
+            self._launch(r)
+            return
+        # Nobody waits for it any more, or nothing could be recorded: either way it never ran.
+        self.tries.release(r.sub.handle)
+        self.effects.release((r.sub.cls, r.sub.key))
+        if self.keeper is not None:
+            self.keeper.void(self.settings.classes[r.sub.cls].name, r.sub.key or "")
+        self._answer(r, Answer(Kind.REFUSED, reason="its run could not be recorded", pushback=BACKEND_WAIT))
+        self._events.append(i.Finished(r.id, 0.0, i.Outcome.MOOT))
+        self._close(r)
+
     def gauges(self, values: dict[str, float]) -> None:
         """The backend's gauges, for all polls that wait."""
         told = [values.get(name) for name in ("core_use", "on_cores", "heap_share", "links")]
@@ -234,7 +285,7 @@
             else:
                 kind = Kind.DUE if action.reason == "due" else Kind.FAILED
                 self._answer(r, Answer(kind, reason=action.reason))
-            if r.state is not State.RUNNING:
+            if r.state not in (State.RUNNING, State.INTENDING, State.RECORDING):
                 self._close(r)
         elif isinstance(action, i.Halt):
             if r.state is State.RUNNING:
@@ -263,6 +314,23 @@
             self._events.append(i.Finished(r.id, 0.0, i.Outcome.MOOT))
             self._close(r)
             return
+        if self.keeper is not None and self._kept(sub):
+            r.state = State.INTENDING
+            wait = self.keeper.intend(spec.name, sub.key or "", lambda good: self._intended(now, r, good))
+            if wait is None:
+                return
+            r.state = State.HELD
+            self.tries.release(sub.handle)
+            self.effects.release((sub.cls, sub.key))
+            self.counters.add("requests", "no room to record its run")
+            self._answer(r, Answer(Kind.REFUSED, reason="no room to record its run", pushback=wait))
+            self._events.append(i.Finished(r.id, 0.0, i.Outcome.MOOT))
+            self._close(r)
+            return
+        self._launch(r)
+
+    def _launch(self, r: Request) -> None:
+        sub, spec = r.sub, self.settings.classes[r.sub.cls]
         r.state, r.ran = State.RUNNING, True
         heappush(self._orphans, (r.due + ORPHAN, r.id))
         self.counters.add("attempts", "started")
--- a/lapishaven/core/model.py
+++ b/lapishaven/core/model.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
@@ -68,6 +69,25 @@
     def __call__(self, event: str, sub: Submission, detail: str) -> None: ...
 
 
+class Known(Protocol):
+    """What is known of an effect."""
+
+    @property
+    def result(self) -> bytes: ...
+    @property
+    def standing(self) -> Enum: ...
+
+
+class Keeper(Protocol):
+    """What keeps keyed results beyond this process's life."""
+
+    def find(self, cls: str, key: str) -> Known: ...
+    def intend(self, cls: str, key: str, then: Callable[[bool], None]) -> float | None: ...
+    def done(self, cls: str, key: str, result: bytes, then: Callable[[bool], None]) -> None: ...
+    def failed(self, cls: str, key: str) -> None: ...
+    def void(self, cls: str, key: str) -> None: ...
+
+
 class Signals(Protocol):
     """What the module tells the outside apart from answers."""
 
@@ -79,7 +99,9 @@
 class State(Enum):
     HELD = "held"
     ATTACHED = "attached"
+    INTENDING = "intending"  # to be run once its intent is durable
     RUNNING = "running"
+    RECORDING = "recording"  # it ran; to be answered once its result is durable
     PAUSED = "paused"
     OVER = "over"
 
--- a/lapishaven/server.py
+++ b/lapishaven/server.py
@@ -33,6 +33,7 @@
 
 if TYPE_CHECKING:
     from lapishaven.pools import Pools, PoolSettings
+    from lapishaven.recovery import KeyedResults
 
 RESERVE = 32  # descriptors for the program itself: streams, epoll, doors, links and those on their way out
 ATTEMPTS = 64  # and for attempts of the uwsgi backend, where there is one
@@ -59,6 +60,7 @@
         counters: Counters | None = None,
         files: Callable[[], Files] | None = None,
         pools: PoolSettings | None = None,
+        keeper: KeyedResults | None = None,
     ) -> None:
         self.config, self.loop = config, loop or Loop()
         self.log = log or (lambda text: print(text, file=sys.stderr, flush=True))
@@ -71,6 +73,9 @@
         self.loop.unsent_limit = config.memory_mb * 1024 * 1024 // UNSENT_PART
         self.classes = {spec.name: n for n, spec in enumerate(config.settings.classes)}
         self.store, self._contracts, self._files = store, contracts, files
+        self.keeper = keeper
+        if keeper is not None:
+            self.loop.watch(keeper.ready, 1, lambda mask: keeper.told())
         self._pool_rules, self.pools = pools, None  # type: PoolSettings | None, Pools | None
         self.drivers: dict[str, Driver] = {}
         if backend is not None:
@@ -111,11 +116,16 @@
             self.broker = Broker(
                 settings, self.config.seed, self.backend, self, self.counters, contracts, self.drivers,
                 self._record, self.config.memory_mb * 1024 * 1024, self._make_pools(settings),
+                self.keeper,
             )  # fmt: skip
             for cls, key, age in self.store.started(ONCE_LIFE) if self.store is not None else ():
                 if cls in self.classes:
                     self.broker.remember(self.loop.now, cls, key, age)
 
+            for cls, key, age in self.keeper.doubts() if self.keeper is not None else ():
+                if cls in self.classes:
+                    self.broker.remember(self.loop.now, cls, key, age)
+
     def _make_pools(self, settings: Settings) -> Pools | None:
         if self._pool_rules is None:
             return None
@@ -289,6 +299,9 @@
                 driver.close()
             if self.store is not None:
                 self.store.close()
+            if self.keeper is not None:
+                self.loop.unwatch(self.keeper.ready)
+                self.keeper.close()
             self.reporter.close()
             self.tell_counters()
         return 0
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,277 @@
+"""Keyed results over restarts: the ledger, the order of intent, run, result and reply, and kills of the process."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import json
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import pytest
+from scenario import World
+from typer.testing import CliRunner
+
+from lapishaven import config
+from lapishaven.cli import app
+from lapishaven.lab import site
+from lapishaven.lab.catalog import Catalog
+from lapishaven.lab.disk import Disk
+from lapishaven.lab.interpreter import Box, Interpreter
+from lapishaven.proto import uwsgi
+from lapishaven.recovery import KeyedResults, Ledger, Standing
+from lapishaven.recovery.ledger import Entry, decode, encode
+from lapishaven.storage import Limits, Store
+
+ROOT = Path(__file__).parent.parent
+
+
+def test_the_ledger_ages_out_and_never_earlier() -> None:
+    ledger = Ledger(100.0)
+    ledger.intend(10.0, b"a")
+    ledger.done(12.0, b"a", b"r")
+    ledger.intend(50.0, b"b")
+    ledger.failed(b"b")
+    assert ledger.find(109.0, b"a") == Entry(Standing.DONE, 10.0, b"r")
+    assert ledger.find(110.0, b"a").standing is Standing.UNKNOWN
+    assert ledger.find(60.0, b"b").standing is Standing.DOUBT
+    assert ledger.frees_in(60.0) == 50.0
+    assert ledger.sweep(120.0) == 1 and len(ledger) == 1
+    ledger.void(b"b")
+    assert ledger.find(60.0, b"b").standing is Standing.UNKNOWN
+
+
+def test_values_are_read_back_and_nonsense_is_refused() -> None:
+    assert decode(encode(5.0, None)) == Entry(Standing.DOUBT, 5.0)
+    assert decode(encode(5.0, b"xyz")) == Entry(Standing.DONE, 5.0, b"xyz")
+    for wrong in (b"", b"I", b"X" + bytes(8)):
+        with pytest.raises(ValueError):
+            decode(wrong)
+
+
+class Keeping(World):
+    """The real server over a store on a disk in memory, which commits only when the scenario says so."""
+
+    backend = config.UwsgiBackend(("127.0.0.1", 3), "/run/")
+    contracts = None
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.disk, self.up_there = Disk(), True
+        self.born()
+
+    def born(self) -> None:
+        """A life of the server over what the disk has."""
+        self.disk.locked = False
+        self.base = Store(self.disk.mount(), Limits(segment=100_000), lambda: 1000.0, thread=False)
+        self.keeper = KeyedResults(self.base, 900.0, wall=lambda: 1000.0)
+        self.server.keeper, self.server.broker = self.keeper, None
+        self.server.up(False, 1.0)
+
+    def durable(self) -> None:
+        while self.base.commit():
+            pass
+        self.keeper.told()
+        self.play("wait 0.01")
+
+    def runs(self, count: int) -> None:
+        """So many attempts have gone to the backend."""
+        self.assertEqual(len(self.up), count)
+
+    # Guards against a run before its intent lasts, and a reply before its result does.
+    def test_the_order_of_intent_run_result_and_reply(self) -> None:
+        self.play("send u1 approve-commit id=k\n wait 0.05")
+        self.runs(0)
+        self.durable()
+        self.play("expect up approve-commit u1\n send up 200 u1\n wait 0.05\n expect u1 nothing")
+        self.durable()
+        self.play("expect u1 200 u1\n send u2 approve-commit id=k retry=1\n expect u2 200 u1")
+        self.runs(1)
+
+    # Guards against a second charge after a kill, in each of the places where one may strike.
+    def test_a_kill_between_run_and_reply(self) -> None:
+        self.play("send u1 approve-commit id=k\n wait 0.01")
+        self.durable()
+        self.play("expect up approve-commit u1")
+        self.born()  # the process died with the run out, and nothing was said
+        self.play("send u2 approve-commit id=k retry=1\n expect u2 502")
+        self.runs(1)
+
+    def test_a_kill_after_the_result_was_durable_and_before_the_reply(self) -> None:
+        self.play("send u1 approve-commit id=k\n wait 0.01")
+        self.durable()
+        self.play("expect up approve-commit u1\n send up 200 u1\n wait 0.05")
+        self.base.commit()  # durable, and the loop was not told any more
+        self.born()
+        self.play("send u2 approve-commit id=k retry=1\n expect u2 200 u1")
+        self.runs(1)
+
+    def test_a_kill_before_the_intent_was_durable_leaves_the_key_free(self) -> None:
+        self.play("send u1 approve-commit id=k\n wait 0.01")
+        self.disk = self.disk.copy()
+        self.born()
+        self.play("send u2 approve-commit id=k retry=1\n wait 0.01")
+        self.durable()
+        self.play("expect up approve-commit u2")
+
+    # Guards against "refused" for what ran, and against a key that is held by what never did.
+    def test_a_write_that_fails_before_the_run_refuses_and_after_it_fails(self) -> None:
+        self.disk.fault = lambda call, name: OSError(errno.EIO, "bad") if call == "sync" else None
+        self.play("send u1 approve-commit id=k\n wait 0.01")
+        self.durable()
+        self.play("expect u1 503")
+        self.runs(0)
+        self.disk.fault = lambda call, name: None
+        self.play("send u2 approve-commit id=k\n wait 0.01")
+        self.durable()
+        self.play("expect up approve-commit u2\n send up 200 u2\n wait 0.01")
+        self.disk.fault = lambda call, name: OSError(errno.EIO, "bad") if call == "sync" else None
+        self.durable()
+        self.play("expect u2 502\n send u3 approve-commit id=k retry=1\n expect u3 502")
+        self.runs(1)
+
+    # Guards against a run for a caller that went while the store was slow.
+    def test_a_caller_that_goes_before_its_intent_is_durable(self) -> None:
+        self.play("send u1 approve-commit id=k\n wait 0.01\n close u1\n wait 0.01")
+        self.durable()
+        self.runs(0)
+        self.play("send u2 approve-commit id=k\n wait 0.01")
+        self.durable()
+        self.play("expect up approve-commit u2")
+
+    def test_at_its_bound_it_refuses_unrun_and_safe_work_goes_on(self) -> None:
+        self.keeper.limit = 1
+        self.play("send u1 approve-commit id=k\n wait 0.01")
+        self.durable()
+        self.play("""
+            expect up approve-commit u1
+            send u2 approve-commit id=n
+            expect u2 503
+            send u3 fuzzy-match id=m
+            expect up fuzzy-match u3
+        """)
+
+    def test_what_provably_never_ran_frees_its_key(self) -> None:
+        self.play("send u1 approve-commit id=k\n wait 0.01")
+        self.durable()
+        self.play("expect up approve-commit u1\n send up 503\n expect u1 503")
+        self.durable()
+        self.born()
+        self.play("send u2 approve-commit id=k retry=1\n wait 0.01")
+        self.durable()
+        self.play("expect up approve-commit u2")
+
+
+def ask(address: tuple[str, int], key: str, body: bytes) -> int | None:
+    """One commit over uwsgi; its status, or ``None`` where the connection ended first."""
+    try:
+        with socket.create_connection(address, 5.0) as sock:
+            variables = {"REQUEST_METHOD": "POST", "PATH_INFO": "/match/approve-commit", "HTTP_X_REQUEST_ID": key}
+            sock.sendall(uwsgi.packet(variables, body))
+            machine = uwsgi.Client()
+            while data := sock.recv(65536):
+                found = machine.feed(data)
+                if found is not None:
+                    return found.status
+    except (OSError, ValueError):
+        pass
+    return None
+
+
+# Guards against the pieces that fit on paper only: kill -9 of the real process at random moments, repeats after each.
+def test_the_real_process_killed_at_random_never_runs_a_commit_twice(tmp_path: Path) -> None:
+    kept, front = tmp_path / "storage.toml", tmp_path / "uwsgi.toml"
+    kept.write_text(f'directory = "{tmp_path}/results"\nlife_s = 900\ntotal_mb = 16\nlimit = 1000\n')
+    front.write_text('[front]\nlisten = "127.0.0.1:0"\npath = "/match/"\nheld_kb = 30.0\n')
+
+    async def main() -> None:
+        rnd, loop = Random(5), asyncio.get_running_loop()
+        catalog = Catalog()
+        await catalog.open("127.0.0.1")
+        box = Box(speed=20.0)
+        vm = Interpreter(box, site.WORKS, Random(1), site.GAUGES)
+        await vm.open("127.0.0.1")
+        text = site.configuration("n1", ("127.0.0.1", 0), vm.address, catalog.address, 1, box, 1, 1, False)
+        (tmp_path / "c.json").write_text(text)
+        words = ["serve", "--config", f"{tmp_path}/c.json", "--uwsgi", str(front), "--storage", str(kept)]
+        statuses: dict[str, list[int | None]] = {}
+        for life in range(5):
+            vm.reset(False)
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "lapishaven", *words, stderr=subprocess.PIPE, cwd=ROOT,
+            )  # fmt: skip
+            assert process.stderr is not None
+            line = (await process.stderr.readline()).decode()
+            host, _, port = line.split(" and ")[1].strip().rpartition(":")
+            await asyncio.sleep(0.3)  # the link to the interpreter; before it is there, requests are refused
+            keys = [f"{life}:{n}" for n in range(6)] + [f"{before}:{n}" for before in range(life) for n in range(6)]
+            address: tuple[str, int] = (host, int(port))
+            work: list[Any] = [loop.run_in_executor(None, ask, address, key, key.encode()) for key in keys]
+            await asyncio.sleep(rnd.uniform(0.0, 0.06))
+            process.send_signal(signal.SIGKILL)
+            vm.down()
+            for key, status in zip(keys, await asyncio.gather(*work), strict=True):
+                statuses.setdefault(key, []).append(status)
+            await process.wait()
+        assert max(vm.starts.values(), default=0) <= 1, "a commit ran twice"
+        served = [key for key, found in statuses.items() if 200 in found]
+        assert all(vm.starts[key.encode()] == 1 for key in served)
+        for found in statuses.values():
+            if 200 in found:  # once served, a repeat gets the first answer in every later life
+                assert set(found[found.index(200) :]) <= {200, None}
+        await vm.close()
+        await catalog.close()
+
+    asyncio.run(asyncio.wait_for(main(), 60.0))
+
+
+@pytest.mark.parametrize(
+    ("text", "line"),
+    [
+        ("", "it needs exactly directory, life_s, limit, total_mb"),
+        ('directory = "x"\nlife_s = 900\ntotal_mb = 1\nlimit = 1\n', "directory is no path from the root"),
+        ('directory = "/x"\nlife_s = 9\ntotal_mb = 1\nlimit = 1\n', "life_s is under the 900 s"),
+        ('directory = "/x"\nlife_s = 900\ntotal_mb = 0\nlimit = 1\n', "total_mb is not a number above 0"),
+    ],
+)
+def test_mistakes_are_one_plain_line(text: str, line: str, tmp_path: Path) -> None:
+    (tmp_path / "s.toml").write_text(text)
+    with pytest.raises(config.ConfigError, match=line):
+        config.storage(str(tmp_path / "s.toml"))
+    assert config.storage(str(ROOT / "deploy/storage.toml")).life_s == 3600
+    assert "--storage" not in (ROOT / "deploy/balancer.toml").read_text()  # off on the platform
+
+
+def test_the_store_s_commands(tmp_path: Path) -> None:
+    def run(*words: str) -> tuple[int, str]:
+        result = CliRunner().invoke(app, ["storage", *words])
+        return result.exit_code, result.output
+
+    where = str(tmp_path / "s")
+    with Store.open(where, Limits(segment=2000)) as store:
+        for n in range(100):
+            store.put(b"%d" % n, b"v%d" % n)
+        store.sync()
+        for n in range(50):
+            store.delete(b"%d" % n)
+    assert run("verify", where)[0] == 0
+    assert json.loads(run("stat", where)[1])["keys"] == 50
+    code, lines = run("dump", where)
+    assert code == 0 and len(lines.splitlines()) == 50
+    (tmp_path / "dump").write_text(lines)
+    assert run("restore", str(tmp_path / "t"), str(tmp_path / "dump")) == (0, "50 keys\n")
+    assert run("compact", where)[0] == 0 and run("snapshot", where, str(tmp_path / "u"))[0] == 0
+    assert json.loads(run("stat", str(tmp_path / "u"))[1])["keys"] == 50
+    segment = next(Path(where).glob("*.seg"))
+    data = bytearray(segment.read_bytes())
+    data[60] ^= 1
+    segment.write_bytes(data)
+    assert run("verify", where)[0] == 1
+    assert run("stat", str(tmp_path / "nowhere")) == (2, f"lapishaven: there is no store in {tmp_path}/nowhere\n")
+
+
