--- a/lapishaven/storage/store.py
+++ b/lapishaven/storage/store.py
@@ -100,6 +100,7 @@
         self._lock = threading.RLock()
         self._work = threading.Condition(self._lock)
         self._committing = threading.Lock()
+        self._compact_lock = threading.Lock()  # the store's own thread compacts, and so may a caller
         self._closed = self._stalled = False
         self._seq = 0
         self._wall = 0.0  # the latest time that the store has seen, over restarts too
@@ -556,12 +557,18 @@
         while self.compact_slice(everything=everything, upto=last):
             if self._thread is None:
                 self.commit()
+            else:
+                time.sleep(0.0005)  # the copies are on their way to the disk
         return before - self.disk_bytes
 
     def compact_slice(self, budget: int = 1 << 20, everything: bool = False, upto: int = 1 << 24) -> bool:
         """Copy up to so many bytes of what is live out of the worst sealed segment; once none is left and the copies
         are durable, the segment goes. Cut off at any point, the next opening finds the same records. True if there
         is more to do."""
+        with self._compact_lock:
+            return self._slice(budget, everything, upto)
+
+    def _slice(self, budget: int, everything: bool, upto: int) -> bool:
         if self._compacting is None:
             victim = self._victim(everything, upto)
             if victim is None:
@@ -690,7 +697,8 @@
                 if self._closed and not self._queue:
                     return
             self.commit()
-            self.compact_slice()
+            with suppress(OSError):  # as a read that fails: what is not compacted stays as it is
+                self.compact_slice()
 
     def close(self) -> None:
         """Write what waits, seal, and let the lock go. Everything is durable after it, or its future has failed."""
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -355,6 +355,19 @@
         assert len(contents(copy)) == 120
 
 
+# Guards against the store's thread ending where a caller compacts beside it, after which no put would ever be done.
+def test_a_caller_may_compact_beside_the_store_s_thread(tmp_path: Path) -> None:
+    with Store.open(str(tmp_path), Limits(segment=5000, dead=0.3)) as store:
+        for _ in range(4):
+            for n in range(150):
+                store.put(b"%d" % n, bytes(80))
+                if n % 50 == 49:
+                    store.sync()
+            store.compact(everything=True)
+        assert store.put(b"last", b"1").result(timeout=10) > 0
+        assert len(contents(store)) == 151
+
+
 def test_a_scan_is_of_one_moment() -> None:
     store = open_on(Disk())
     for n in range(20):
