--- a/lapishaven/core/broker.py
+++ b/lapishaven/core/broker.py
@@ -181,7 +181,7 @@
             self._answer(r, Answer(Kind.FAILED, reason="it ran, and its result could not be kept"))
         self._close(r, result if good else None)
 
-    def _intended(self, now: float, r: Request, good: bool) -> None:
+    def _intended(self, r: Request, good: bool) -> None:
         """Its intent is durable, or is not: only then may it run."""
         if r.state is not State.INTENDING:
             return
@@ -316,7 +316,7 @@
             return
         if self.keeper is not None and self._kept(sub):
             r.state = State.INTENDING
-            wait = self.keeper.intend(spec.name, sub.key or "", lambda good: self._intended(now, r, good))
+            wait = self.keeper.intend(spec.name, sub.key or "", lambda good: self._intended(r, good))
             if wait is None:
                 return
             r.state = State.HELD
--- a/lapishaven/server.py
+++ b/lapishaven/server.py
@@ -311,6 +311,8 @@
         self.counters.groups["bytes"] = Counter(received=self.loop.received, sent=self.loop.sent)
         if self.pools is not None:
             self.counters.groups["pools"] = Counter(self.pools.state())
+        if self.keeper is not None:
+            self.counters.groups["storage"] = Counter(self.keeper.state())
         self.log(self.counters.line())
 
     def _signals(self, numbers: bytes) -> None:
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -92,6 +92,9 @@
         self.durable()
         self.play("expect u1 200 u1\n send u2 approve-commit id=k retry=1\n expect u2 200 u1")
         self.runs(1)
+        self.server.tell_counters()
+        told = self.server.counters.groups["storage"]
+        self.assertEqual((told["effects"], told["in doubt"], told["commits"]), (1, 0, 2))
 
     # Guards against a second charge after a kill, in each of the places where one may strike.
     def test_a_kill_between_run_and_reply(self) -> None:
