--- a/lapishaven/recovery/keeper.py
+++ b/lapishaven/recovery/keeper.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 import threading
 import time
 from collections import deque
@@ -10,6 +9,7 @@
 from concurrent.futures import Future
 from contextlib import suppress
 
+from lapishaven.net.wake import Wake
 from lapishaven.recovery.ledger import Entry, Ledger, Standing, decode, encode
 from lapishaven.storage import Store, StoreError, StoreFull
 
@@ -28,9 +28,7 @@
         self.ledger = Ledger(life)
         self._ends: deque[Callable[[], None]] = deque()
         self._pending: deque[float] = deque()  # since when each is under way
-        self._reader, self._writer = socket.socketpair()
-        self._reader.setblocking(False)
-        self._writer.setblocking(False)
+        self._wake = Wake()
         self._lock = threading.Lock()
         self._swept = wall()
         for name, value, _ in store.scan():
@@ -39,7 +37,7 @@
 
     @property
     def ready(self) -> int:
-        return self._reader.fileno()
+        return self._wake.reader
 
     @staticmethod
     def name(cls: str, key: str) -> bytes:
@@ -138,14 +136,11 @@
 
     def _post(self, what: Callable[[], None]) -> None:
         self._ends.append(what)
-        with suppress(BlockingIOError, OSError):
-            self._writer.send(b"x")  # a full pipe wakes just as well
+        self._wake.poke()
 
     def told(self) -> None:
         """On the event path: carry out what was told since."""
-        with suppress(BlockingIOError):
-            while self._reader.recv(4096):
-                pass
+        self._wake.drain()
         while self._ends:
             self._ends.popleft()()
 
@@ -153,8 +148,7 @@
         """All that was begun is durable after this."""
         self.store.close()
         self.told()
-        self._reader.close()
-        self._writer.close()
+        self._wake.close()
 
 
 __all__ = ["KeyedResults", "Standing"]
--- a/lapishaven/server.py
+++ b/lapishaven/server.py
@@ -29,6 +29,7 @@
 from lapishaven.net.conn import Dial, connect
 from lapishaven.net.listener import Budget, Listener
 from lapishaven.net.loop import Loop
+from lapishaven.net.wake import Wake
 from lapishaven.store import Entry, Store
 
 if TYPE_CHECKING:
@@ -278,13 +279,11 @@
         return self.broker.next_at() if self.broker is not None else None
 
     def run(self) -> int:
-        wakeup, poke = socket.socketpair()
-        for end in (wakeup, poke):
-            end.setblocking(False)
-        old = signal.set_wakeup_fd(poke.fileno(), warn_on_full_buffer=False)
+        wake = Wake()
+        old = signal.set_wakeup_fd(wake.writer, warn_on_full_buffer=False)
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1):
             signal.signal(number, lambda *_: None)  # told through the descriptor
-        self.loop.watch(wakeup.fileno(), 1, lambda mask: self._signals(wakeup.recv(64)))
+        self.loop.watch(wake.reader, 1, lambda mask: self._signals(wake.drain()))
         doors = " and ".join("{}:{}".format(*listener.address) for listener in self.listeners)
         self.log(f"lapishaven {self.config.name} pid {os.getpid()} at {doors}")
         # What is there at the start stays, so the collector need not walk it again in the middle of a day.
@@ -294,6 +293,8 @@
             self.loop.run(self.turn, self.next_at)
         finally:
             signal.set_wakeup_fd(old)
+            self.loop.unwatch(wake.reader)
+            wake.close()
             self._close_doors()
             for driver in self.drivers.values():
                 driver.close()
