Add the control address with readyz and metrics, and serve an inherited listening socket

Counts come from Counters: the broker's one answering place tallies fulfilled/throttled/faulted by class, its one starting place relayed. With $NODE_INHERITED_FD the listener adopts the descriptor; on SIGTERM the old process stops accepting at once, leaves the kernel's queue to the new one and stops reporting to the catalog. Without it nothing changes.

--- a/lapishaven/cli.py
+++ b/lapishaven/cli.py
@@ -96,7 +96,7 @@
             keeper=keeper,
         )  # fmt: skip
     except OSError as error:
-        _fail(f"cannot listen: {error.strerror}")
+        _fail(f"cannot listen: {error.strerror or error}")
     raise typer.Exit(server.run())
 
 
--- a/lapishaven/config.py
+++ b/lapishaven/config.py
@@ -36,6 +36,8 @@
     memory_mb: int
     settings: i.Settings
     gauges: tuple[str, ...]
+    control: Address | None = None  # the second address: HTTP/1.1, readyz and metrics
+    inherited: int | None = None  # the descriptor of a listening socket that the platform holds for callers
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,8 +67,10 @@
     return float(value)
 
 
-def parse(text: str) -> Config:
-    """A checked configuration from its JSON text."""
+def parse(text: str, environ: Mapping[str, str] | None = None) -> Config:
+    """A checked configuration from its JSON text; ``NODE_CONTROL`` and ``NODE_INHERITED_FD`` in ``environ``
+    stand before what the file says of them."""
+    environ = environ or {}
     try:
         data = json.loads(text)
     except ValueError:
@@ -101,9 +105,23 @@
         memory_mb=int(_positive(limits, "memory_mb")),
         settings=settings,
         gauges=gauges,
+        control=_control(environ.get("NODE_CONTROL") or data.get("control")),
+        inherited=_inherited(environ.get("NODE_INHERITED_FD")),
     )
 
 
+def _control(value: Any) -> Address | None:
+    return None if value in (None, "") else address(value, "control")
+
+
+def _inherited(value: str | None) -> int | None:
+    if not value:
+        return None
+    if not value.isdigit() or int(value) < 3:
+        raise ConfigError("NODE_INHERITED_FD is not a descriptor number of 3 or more")
+    return int(value)
+
+
 def load(path: str | None = None, environ: Mapping[str, str] = os.environ) -> Config:
     """The configuration at ``path``, or where NODE_CONFIG says."""
     where = path or environ.get("NODE_CONFIG")
@@ -113,7 +131,7 @@
         text = Path(where).read_text()
     except (OSError, UnicodeDecodeError) as error:
         raise ConfigError(f"cannot read {where}: {getattr(error, 'strerror', None) or error}") from None
-    return parse(text)
+    return parse(text, environ)
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/lapishaven/control/metrics.py
@@ -0,0 +1,46 @@
+"""The figures of ``GET /v1/metrics`` in the Prometheus text format (version 0.0.4), from the counters alone.
+
+Written by hand rather than through prometheus-client: that library would bring some 2 MB of imports onto the
+lean path of ``serve`` for five families, and a second tally beside the counters. Every figure here is read from
+``Counters``, where the one place that answers (``Broker._send``) and the one that starts runs count them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from lapishaven.core.tally import FAULTED, FULFILLED, RELAYED, THROTTLED
+from lapishaven.counters import Counters
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+PREFIX = "server_"
+BY_CLASS = (
+    (FULFILLED, "requests served"),
+    (THROTTLED, "requests refused, which never ran"),
+    (FAULTED, "requests failed, or failed as their due time came"),
+    (RELAYED, "runs handed to the backend"),
+)
+
+
+def _label(value: str) -> str:
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+
+
+def render(counters: Counters, classes: Iterable[str], open_requests: int, ready: bool) -> bytes:
+    """The exposition text. ``classes`` are those that are served now, and any that counted before a reload."""
+    names = list(dict.fromkeys(classes))
+    for group, _ in BY_CLASS:
+        names += [n for n in counters.groups.get(group, {}) if n not in names]
+    lines: list[str] = []
+    for group, text in BY_CLASS:
+        metric = PREFIX + group
+        lines += [f"# HELP {metric} {text}, by class", f"# TYPE {metric} counter"]
+        lines += [f'{metric}{{priority="{_label(n)}"}} {counters.get(group, n)}' for n in names]
+    for metric, kind, value, text in (
+        ("open_requests", "gauge", open_requests, "requests taken and not yet ended"),
+        ("cfg_accepted", "counter", counters.get("reloads", "done"), "settings files taken at SIGHUP"),
+        ("cfg_invalid", "counter", counters.get("reloads", "failed"), "settings files turned down at SIGHUP"),
+        ("ready", "gauge", int(ready), "1 while this process says yes to /v1/readyz"),
+    ):
+        lines += [f"# HELP {PREFIX}{metric} {text}", f"# TYPE {PREFIX}{metric} {kind}", f"{PREFIX}{metric} {value}"]
+    return ("\n".join(lines) + "\n").encode()
--- a/lapishaven/core/broker.py
+++ b/lapishaven/core/broker.py
@@ -12,6 +12,7 @@
 
 from cometdrum import interface as i
 from cometdrum.controller import Controller
+from lapishaven.core import tally
 from lapishaven.core.contracts import Contracts, Denied
 from lapishaven.core.keys import KeyTable
 from lapishaven.core.model import (
@@ -334,6 +335,7 @@
         r.state, r.ran = State.RUNNING, True
         heappush(self._orphans, (r.due + ORPHAN, r.id))
         self.counters.add("attempts", "started")
+        self.counters.add(tally.RELAYED, spec.name)
         self._record("started", sub, "")
         r.backend.start(sub.handle, spec.name, sub.body, spec.effect is not i.Effect.SAFE)
 
@@ -384,6 +386,7 @@
 
     def _send(self, sub: Submission, reply: Reply, answer: Answer) -> None:
         self.counters.add("answers", answer.kind.value)
+        self.counters.add(tally.GROUP[answer.kind], self.settings.classes[sub.cls].name)
         self._record("answered", sub, answer.kind.value)
         reply(answer)
 
--- a/lapishaven/fronts/platform.py
+++ b/lapishaven/fronts/platform.py
@@ -9,6 +9,7 @@
 
 from lapishaven.core import Answer, Kind, Submission
 from lapishaven.core.model import Request
+from lapishaven.core.tally import THROTTLED
 from lapishaven.ends import End
 from lapishaven.fronts import Host, age
 from lapishaven.net.conn import Conn
@@ -92,6 +93,7 @@
             self.conn.write(jsonrpc.error(m.id, jsonrpc.INVALID_PARAMS, "recv is out of its range"))
             return
         if broker is None:
+            self.host.counters.add(THROTTLED, m.method)
             self.conn.write(jsonrpc.error(m.id, jsonrpc.REFUSED, "not up yet", 1.0))
             return
         self.open[m.id] = None
--- a/lapishaven/fronts/uwsgi.py
+++ b/lapishaven/fronts/uwsgi.py
@@ -22,6 +22,7 @@
 from lapishaven.config import UwsgiFront
 from lapishaven.core import Answer, Kind, Submission
 from lapishaven.core.model import Request
+from lapishaven.core.tally import THROTTLED
 from lapishaven.ends import End
 from lapishaven.fronts import Host, age
 from lapishaven.net.conn import Conn
@@ -121,6 +122,7 @@
         sub = submission(request, self.host.classes, self.front, handle, time.time())
         self.host.counters.add("uwsgi", "requests")
         if broker is None:
+            self.host.counters.add(THROTTLED, next(n for n, c in self.host.classes.items() if c == sub.cls))
             return self._answer(Answer(Kind.REFUSED, reason="not up yet", pushback=1.0))
         self._open = True
         self._request = broker.submit(loop.now, sub, self._answer)
--- a/lapishaven/net/listener.py
+++ b/lapishaven/net/listener.py
@@ -29,13 +29,23 @@
         budget: Budget,
         accepted: Callable[[socket.socket], None],
         make_room: Callable[[], bool],
+        inherited: int | None = None,
     ) -> None:
+        """Bind ``address``; or, with ``inherited``, serve the listening socket of that descriptor, which another
+        process (the platform, and an older or newer process of this server) holds as well. Raises ``OSError``."""
         self.loop, self.budget, self._accepted, self._make_room = loop, budget, accepted, make_room
-        self.sock: socket.socket | None = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sock.setblocking(False)
-        self.sock.bind(address)
-        self.sock.listen(1024)
+        self.shared = inherited is not None
+        if inherited is not None:
+            self.sock: socket.socket | None = socket.socket(fileno=inherited)
+            if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN) != 1:
+                raise OSError(f"descriptor {inherited} is not a listening socket")
+            self.sock.setblocking(False)
+        else:
+            self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self.sock.setblocking(False)
+            self.sock.bind(address)
+            self.sock.listen(1024)
         self.address: tuple[str, int] = self.sock.getsockname()
         self._resume()
 
@@ -68,9 +78,13 @@
         self._accepted(sock)
 
     def close(self) -> None:
-        """Take what the kernel has accepted already, as it may carry requests, then shut the door."""
+        """Take what the kernel has accepted already, as it may carry requests, then shut the door.
+
+        A shared socket is left to the other process that holds it: what waits in its queue is for that one.
+        """
         if self.sock is not None:
-            self._ready(0)
+            if not self.shared:
+                self._ready(0)
             self.loop.unwatch(self.sock.fileno())
             self.sock.close()
             self.sock = None
--- a/lapishaven/server.py
+++ b/lapishaven/server.py
@@ -20,12 +20,13 @@
 from lapishaven.backends.uwsgi import Uwsgi
 from lapishaven.catalog import Reporter
 from lapishaven.config import Config, ConfigError, Files, UwsgiBackend, UwsgiFront
+from lapishaven.control.metrics import render
 from lapishaven.core import Submission
 from lapishaven.core.broker import ONCE_LIFE, Broker
 from lapishaven.core.contracts import Contract, Contracts
 from lapishaven.counters import Counters
 from lapishaven.ends import End
-from lapishaven.fronts import Session, platform, uwsgi
+from lapishaven.fronts import Session, control, platform, uwsgi
 from lapishaven.net.conn import Dial, connect
 from lapishaven.net.listener import Budget, Listener
 from lapishaven.net.loop import Loop
@@ -69,7 +70,7 @@
         self.broker: Broker | None = None
         self.draining = False
         self.sessions: dict[Session, float] = {}  # when each was last looked at, oldest look first
-        reserve = RESERVE + (ATTEMPTS if backend is not None else 0)
+        reserve = RESERVE + (ATTEMPTS if backend is not None else 0) + (control.LIMIT if config.control else 0)
         self.budget = Budget(config.descriptors, min(reserve, config.descriptors // 4))
         self.loop.unsent_limit = config.memory_mb * 1024 * 1024 // UNSENT_PART
         self.classes = {spec.name: n for n, spec in enumerate(config.settings.classes)}
@@ -98,7 +99,12 @@
         def platform_session(sock: socket.socket) -> Session:
             return platform.Session(self, sock)
 
-        self.listeners = [self._listen(config.listen, platform_session)]
+        self.listeners = [self._listen(config.listen, platform_session, config.inherited)]
+        self.control: dict[control.ControlSession, None] = {}  # open calls, oldest first
+        self.control_door = (
+            Listener(self.loop, config.control, Budget(control.LIMIT, 0), self._control_accepted, self._control_room)
+            if config.control is not None else None
+        )  # fmt: skip
         if front is not None:
             random = Random(config.seed ^ SEED_MARK)
             self.listeners.append(
@@ -160,14 +166,45 @@
         self.log(f"remark: {text}")
 
     # ---- Callers
-    def _listen(self, address: tuple[str, int], session_of: Callable[[socket.socket], Session]) -> Listener:
+    def _listen(
+        self, address: tuple[str, int], session_of: Callable[[socket.socket], Session], inherited: int | None = None
+    ) -> Listener:
         def accepted(sock: socket.socket) -> None:
             self.counters.add("connections", "accepted")
             session = session_of(sock)
             self.sessions[session] = self.loop.now
             self.loop.spawn(session.run())
 
-        return Listener(self.loop, address, self.budget, accepted, self._make_room)
+        return Listener(self.loop, address, self.budget, accepted, self._make_room, inherited)
+
+    # ---- The control address
+    def ready(self) -> bool:
+        """Yes once the interpreter is there and the module has begun, until the notice to leave."""
+        return self.broker is not None and not self.draining
+
+    def metrics(self) -> bytes:
+        open_requests = len(self.broker.requests) if self.broker is not None else 0
+        return render(self.counters, self.classes, open_requests, self.ready())
+
+    def _control_accepted(self, sock: socket.socket) -> None:
+        self.counters.add("control", "calls")
+        session = control.ControlSession(self, sock)
+        self.control[session] = None
+        self.loop.spawn(session.run())
+
+    def _control_room(self) -> bool:
+        """The oldest call makes room for the next one: a caller that says nothing for long is not waited for."""
+        if not self.control:
+            return False
+        self.counters.add("control", "evicted")
+        next(iter(self.control)).conn.close(End.EVICTED)
+        return True
+
+    def control_ended(self, session: control.ControlSession, end: End) -> None:
+        if self.control.pop(session, 0) is None:
+            assert self.control_door is not None
+            self.control_door.budget.used -= 1
+            self.counters.add("ends", f"control {end.value}")
 
     def ended(self, session: Session, end: End) -> None:
         if self.sessions.pop(session, None) is not None:
@@ -251,6 +288,10 @@
             return
         self.draining = True
         self._kill_at = self.loop.now + self.config.stop_span
+        if self.config.inherited is not None:
+            # An upgrade: the new process serves the shared socket and reports to the catalog from now on.
+            self.listeners[0].close()
+            self.reporter.close()
         for session in self.sessions:
             session.drain()
         if self.broker is None:
@@ -296,6 +337,10 @@
             self.loop.unwatch(wake.reader)
             wake.close()
             self._close_doors()
+            if self.control_door is not None:  # open to the end: the figures are read while it drains
+                self.control_door.close()
+            for session in list(self.control):
+                session.conn.close(End.SHUTDOWN)
             for driver in self.drivers.values():
                 driver.close()
             if self.store is not None:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -11,6 +11,8 @@
     send vm OK c1.3               the run of c1.3 ended    send vm BANNER COLD          send server TERM
     expect vm APPLY c1.3          expect vm nothing        expect c1 result 3 | refused 3 | failed 3
     expect u1 200                 expect c1 closed         close c1          wait 0.5
+    send h1 GET /v1/readyz        expect h1 200            expect h1 200 server_open_requests 1
+    (``h...`` call the control address, one call a connection)
     send server HUP               the files in ``files`` are read again       lose vm 2
     (the link takes so many commands and gives them to nobody, as one that is about to break may)
 """
@@ -166,7 +168,7 @@
         self.up: list[Peer] = []
         self.dialled: list[int] = []
         self.vm.banner = self.banner
-        text = configuration(vm="127.0.0.1:2")
+        text = configuration(vm="127.0.0.1:2", control="127.0.0.1:0")
         front = config.UwsgiFront(("127.0.0.1", 0), "/match/", 30.0)
         self.said: list[str] = []
         self.files = text
@@ -227,7 +229,11 @@
         if name not in self.peers:
             ours, theirs = socket.socketpair()
             self.peers[name] = Peer(ours)
-            self.server.listeners[1 if name[0] == "u" else 0].adopt(theirs)
+            if name[0] == "h":
+                assert self.server.control_door is not None
+                self.server.control_door.adopt(theirs)
+            else:
+                self.server.listeners[1 if name[0] == "u" else 0].adopt(theirs)
         return self.peers[name]
 
     def play(self, text: str) -> None:
@@ -267,6 +273,8 @@
     def message(self, name: str, what: str, *rest: str) -> bytes:
         if what == "raw":
             return " ".join(rest).encode().decode("unicode_escape").encode("latin-1")
+        if name[0] == "h":
+            return f"{what} {rest[0]} HTTP/1.1\r\nHost: control\r\n\r\n".encode()
         if name[0] == "u":
             options = dict(word.split("=") for word in rest)
             variables = {"REQUEST_METHOD": "POST", "PATH_INFO": f"/match/{what}"}
@@ -309,6 +317,12 @@
             self.assertEqual((bytes(peer.data), peer.closed), (b"", False))
         elif what == "closed":
             self.assertTrue(peer.closed)
+        elif name[0] == "h":
+            head, _, body = bytes(peer.data).partition(b"\r\n\r\n")
+            self.assertEqual(head.split()[1:2], [what.encode()], (self.line, head))
+            if rest:  # a figure: its name and labels, then its value
+                figures = dict(line.rsplit(" ", 1) for line in body.decode().splitlines() if line[:1] != "#")
+                self.assertEqual(figures.get(rest[0]), rest[1], self.line)
         elif name[0] == "u":
             head, _, body = bytes(peer.data).partition(b"\r\n\r\n")
             self.assertEqual(head.split()[1:2], [what.encode()], head)
