--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -10,6 +10,7 @@
 import random
 import socket
 import time
+from contextlib import suppress
 
 from benchmarks.common import arguments, finish, table, write_into
 from lapishaven.counters import Counters
@@ -65,10 +66,8 @@
         began, got = time.monotonic(), b""
         while time.monotonic() - began < 1.0 and not got.endswith(b"\n"):
             host.loop.round(0.002, lambda now: None)
-            try:
+            with suppress(BlockingIOError):
                 got += asking.recv(4096)
-            except BlockingIOError:
-                pass
         took.append(min(time.monotonic() - began, 1.0) if got.startswith(b"HTTP/1.1 200") else 1.0)
         asking.close()
         pause = time.monotonic() + 0.05
