Change classes at SIGHUP with their numbers kept, and turn bad settings down whole

Design: server.merged keeps classes at their numbers, appends new ones and keeps dropped ones listed for the requests still open; the fronts stop taking a dropped name; Controller.retune grows the per-class figures. Not taken: a new Controller at each reload, which would lose open requests and what it learned. config.parse now turns down an aim or deadline that is no number above 0, an unnamed class and two of one name.

--- a/cometdrum/controller.py
+++ b/cometdrum/controller.py
@@ -92,6 +92,18 @@
         self.idle = settings.idle
         self.drain_from: float | None = None
 
+    def retune(self, settings: i.Settings) -> None:
+        """New settings at a reload. Classes keep their numbers: new ones come last, dropped ones stay
+        listed, and open requests keep the class they came with. ``ValueError`` if classes were taken away."""
+        grow = len(settings.classes) - len(self.s.classes)
+        if grow < 0 or len(settings.tenants) != len(self.s.tenants):
+            raise ValueError("classes keep their numbers, and tenants stay")
+        for figures in (self.latency, self.base):
+            figures[-1:-1] = [0.0] * grow
+        for _, given in self.caller_seen.values():
+            given += [0.0] * grow
+        self.s = settings
+
     # ---- Batch
     def handle(self, now: float, events: list[i.Event]) -> list[i.Action]:
         """All decisions on one batch; one dispatch pass at its end."""
--- a/lapishaven/config.py
+++ b/lapishaven/config.py
@@ -91,6 +91,14 @@
         settings, gauges = wire.settings(json.dumps(data.get("settings")).encode())
     except wire.WireError as error:
         raise ConfigError(str(error).replace("BORN profile-data: ", "settings: ")) from None
+    names = [spec.name for spec in settings.classes]
+    for n, spec in enumerate(settings.classes):
+        if not spec.name or not spec.name.isprintable():
+            raise ConfigError(f"settings: profiles[{n}].name is not a plain word")
+        if not spec.deadline > 0 or not spec.aim > 0:
+            raise ConfigError(f"settings: profiles[{n}] has an aim or a deadline that is no number above 0")
+    if len(set(names)) != len(names):
+        raise ConfigError("settings: two profiles have one name")
     descriptors = int(_positive(limits, "sockets"))
     if descriptors < 64:
         raise ConfigError("limits.sockets is under 64")
--- a/lapishaven/core/broker.py
+++ b/lapishaven/core/broker.py
@@ -8,6 +8,7 @@
 
 import random
 from collections.abc import Mapping
+from dataclasses import replace
 from heapq import heappop, heappush
 
 from cometdrum import interface as i
@@ -211,6 +212,13 @@
             contracts.inherit(self.contracts)
             self.contracts = contracts
 
+    def retune(self, settings: i.Settings) -> None:
+        """A reload's settings, classes numbered as before (see ``Controller.retune``); raises ``ValueError``."""
+        settings = replace(settings, cold=self.settings.cold)
+        self.controller.retune(settings)
+        self.settings = settings
+        self.classes = {spec.name: n for n, spec in enumerate(settings.classes)}
+
     # ---- Drain
     def drain(self, now: float, kill_at: float) -> None:
         if self.draining is not None:
--- a/lapishaven/server.py
+++ b/lapishaven/server.py
@@ -46,6 +46,17 @@
 SEED_MARK = 0x7577736769  # sets the front's random numbers apart from the module's
 
 
+def merged(old: Settings, new: Settings) -> Settings | None:
+    """The settings of a reload with the classes numbered as before: those kept at their numbers with their new
+    figures, new ones last, dropped ones still listed (callers can no longer name them). ``None`` if tenants changed.
+    """
+    if new.tenants != old.tenants:
+        return None
+    fresh = {spec.name: spec for spec in new.classes}
+    kept = tuple(fresh.pop(spec.name, spec) for spec in old.classes)
+    return replace(new, classes=kept + tuple(fresh.values()))
+
+
 class Server:
     """An embeddable match server; ``run`` serves until it is told to leave."""
 
@@ -257,8 +268,19 @@
             self.counters.add("reloads", "failed")
             self.log(f"reload: {error}; the old configuration stays")
             return
-        self.counters.add("reloads", "done")
         new, old = files.config, self.config
+        settings = merged(old.settings, new.settings)
+        if settings is None:
+            self.counters.add("reloads", "failed")
+            self.log("reload: tenants differ, which only a restart changes; the old configuration stays")
+            return
+        self.counters.add("reloads", "done")
+        if settings != old.settings:
+            if self.broker is not None:
+                self.broker.retune(settings)
+            served = {spec.name for spec in new.settings.classes}
+            self.classes = {spec.name: n for n, spec in enumerate(settings.classes) if spec.name in served}
+            self.log(f"reload: classes now {', '.join(self.classes)}")
         moves = {"interpreter": new.interpreter}
         if files.backend is not None:
             moves["uwsgi"] = files.backend.address
@@ -275,9 +297,9 @@
             if self.pools is not None:
                 self.pools.renew(self.loop.now, files.pools)
         self.config = replace(
-            old, interpreter=new.interpreter, catalog=new.catalog, stop_span=new.stop_span
+            old, interpreter=new.interpreter, catalog=new.catalog, stop_span=new.stop_span, settings=settings
         )
-        kept = [n for n in ("name", "listen", "descriptors", "memory_mb", "settings")
+        kept = [n for n in ("name", "listen", "descriptors", "memory_mb")
                 if getattr(new, n) != getattr(old, n)]  # fmt: skip
         self.log("reload: done" + (f"; only a restart changes {', '.join(kept)}" if kept else ""))
 
