Name the control address in check-config, and test that a bad one is turned down

check-config said what every other part of the files holds but the control address; it now prints it, or off, and a control that is not HOST:PORT is one plain line and exit 2 like the others.

--- a/lapishaven/cli.py
+++ b/lapishaven/cli.py
@@ -111,6 +111,7 @@
     print("classes " + ", ".join(f"{c.name} ({c.effect.value}, {c.deadline:g} s)" for c in specs))
     front, backend = loaded.front, loaded.backend
     print(f"uwsgi front {front.listen if front else 'off'}, backend {backend.address if backend else 'off'}")
+    print(f"control address {'{}:{}'.format(*loaded.config.control) if loaded.config.control else 'off'}")
     print(f"contracts {'off' if loaded.contracts is None else len(loaded.contracts)}")
     if kept is not None:
         try:
--- a/tests/test_product.py
+++ b/tests/test_product.py
@@ -116,13 +116,15 @@
         self.assertEqual(code, 0, out)
         self.assertIn("contracts 2", out)
         self.assertIn("3031", out)
-        self.assertIn("uwsgi front off", self.run_with(configuration())[1])
+        out = self.run_with(configuration(control="127.0.0.1:9"))[1]
+        self.assertIn("uwsgi front off, backend off\ncontrol address 127.0.0.1:9\n", out)
 
     # Guards against a traceback, or a start, where an operator made a mistake in a file.
     def test_mistakes_are_one_plain_line_and_exit_2(self) -> None:
         cases = [
             ("nonsense", "not JSON"),
             (configuration(listen="here"), "listen is not HOST:PORT"),
+            (configuration(control="x"), "control is not HOST:PORT"),
             (configuration(seed="xyz"), "seed is not a hex number"),
             (configuration(settings={}), "settings: extra is not an object"),
             (configuration(limits={"sockets": 9, "memory_mb": 192}), "limits.sockets is under 64"),
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -7,8 +7,7 @@
 
 from scenario import SETTINGS, World, configuration
 
-NEW = {"name": "segment-save", "aim": 1.5, "deadline": 4.5, "effect": "free", "credit": 1.0, "late-worth": 0.2,
-       "window": 5.0}  # fmt: skip
+NEW = {"name": "segment-save", "aim": 1.5, "deadline": 4.5, "effect": "free", "credit": 1.0, "late-worth": 0.2}
 
 
 def changed(change: Any) -> str:
