Read a request's key, time left and tenant from the wire: a keyed class ran one effect twice

At fault: proto/jsonrpc._serve read none of the three, fronts/platform._serve named no key, Broker.submit booked every request to tenant 0 and knew no due time but the class's. Ruled out: the guards and the key table, which uwsgi requests with an id pass well. Now the key reaches the table, so a repeat gets its first try's result; a caller's due time is kept where the settings say that callers pass it; a request is booked to the tenant that it names. Beside it: a key was remembered for 900 s whatever its window, so that at 85 keyed requests a second the guard of a 96 MB server was full after 10 minutes and refused the rest; a keyed class's window sets it now. What never left for the interpreter gives its key back, and its repeats are refused, not failed.

The unit of 'work', the cost hint, is told nowhere; it is not read.

--- a/lapishaven/backends/interpreter.py
+++ b/lapishaven/backends/interpreter.py
@@ -117,7 +117,7 @@
             # It never left, so there is nothing to stop.
             self._waiting = [command for command in self._waiting if command.handle != handle]
             self._over(handle)
-            self.loop.at(self.loop.now, lambda: self.listener.finished(handle, Outcome.MOOT, 0.0, b""))
+            self.loop.at(self.loop.now, lambda: self.listener.finished(handle, Outcome.UNREACHED, 0.0, b""))
         elif handle in self._probes:
             self._probes[handle] = False
         elif any(command.handle == handle for command in self._doubt):
--- a/lapishaven/core/broker.py
+++ b/lapishaven/core/broker.py
@@ -38,6 +38,7 @@
 ONCE_LIFE = 900.0  # s for a key; far longer than any caller keeps a try
 TRY_LIFE = 75.0  # s for a try's name: a copy bears its time, and one from over a minute ago is an error
 NEVER_RAN = (i.Outcome.FULL, i.Outcome.UNREACHED)  # outcomes that prove it
+CLOCK_SLACK = 1.0  # s by which callers' clocks and what is under way may stretch a window
 BACKEND_WAIT = 1.0  # s to keep away after the backend could not be reached or turned an attempt away
 ORPHAN = 60.0  # s past its due time after which an attempt whose end was never told is let go
 
@@ -105,6 +106,10 @@
                 self.counters.add("requests", "answered from its kept result")
                 self._send(sub, reply, Answer(Kind.SERVED, kept.result))
                 return None
+        told = span < spec.deadline
+        if self.settings.passes_deadline and sub.left is not None:
+            # Never longer than the class's deadline: that much is booked for it, whatever its caller says.
+            span, told = min(span, sub.left), True
         arrived = now - min(max(sub.age, 0.0), span)
         r = Request(self._new_id(), sub, reply, arrived, arrived + span, backend)
         self.requests[r.id] = self.by_handle[sub.handle] = r
@@ -116,7 +121,7 @@
             else:
                 r.repeats = known.id
         self._events.append(i.Arrival(
-            r.id, sub.kb, 0, r.due if span < spec.deadline else None, sub.caller, now - arrived, sub.retry,
+            r.id, sub.kb, sub.tenant, r.due if told else None, sub.caller, now - arrived, sub.retry,
             sub.write, sub.cls, sub.rank, sub.subject, None, r.repeats,
         ))  # fmt: skip
         return r
@@ -375,9 +380,17 @@
             return Answer(Kind.REFUSED, reason="no room to remember its run", pushback=BACKEND_WAIT)
         self.tries.claim(now, sub.handle)
         if sub.key is not None:
-            self.effects.claim(now, key)
+            self.effects.claim(now, key, self._effect_life(sub.cls))
         return None
 
+    def _effect_life(self, cls: int) -> float:
+        """For how long a repeat of what is started now may come: where the settings name the class's window, which
+        counts from the arrival of the try that runs, that and the time for which it may have waited."""
+        spec = self.settings.classes[cls]
+        if spec.effect is i.Effect.KEYED and spec.window is not None:
+            return spec.window + spec.deadline + CLOCK_SLACK
+        return self.effects.life
+
     def _attach(self, now: float, r: Request) -> None:
         assert r.repeats is not None and r.sub.key is not None
         r.state = State.ATTACHED
@@ -387,13 +400,15 @@
         else:
             self._follow(r, entry.result if entry is not None and entry.id == r.repeats else None)
 
-    def _follow(self, r: Request, result: bytes | None) -> None:
-        """Answer a repeat as its forerunner ended."""
+    def _follow(self, r: Request, result: bytes | None, ran: bool = True) -> None:
+        """Answer a repeat as its forerunner ended. Only where that provably never ``ran`` is it refused."""
         if r.state is not State.ATTACHED:
             return
         outcome = i.Outcome.ERROR if result is None else i.Outcome.OK
         self._events.append(i.Finished(r.id, 0.0, outcome))
-        if result is None:
+        if not ran:
+            self._answer(r, Answer(Kind.REFUSED, reason="the first try of it never ran", pushback=BACKEND_WAIT))
+        elif result is None:
             self._answer(r, Answer(Kind.FAILED, reason="the first try of it gave no result"))
         else:
             self._answer(r, Answer(Kind.SERVED, result))
@@ -424,7 +439,7 @@
                 self.keys.drop((r.sub.cls, r.sub.key), r.id)
         for follower in r.followers:
             if (f := self.requests.get(follower)) is not None:
-                self._follow(f, result)
+                self._follow(f, result, r.ran)
 
     def _new_id(self) -> int:
         self._last_id = (self._last_id + 1) % IDS
--- a/lapishaven/core/model.py
+++ b/lapishaven/core/model.py
@@ -48,6 +48,8 @@
     key: str | None = None  # names the effect, where the front's protocol has such a key
     team: str | None = None  # whose contract it comes under; None where the front's protocol names no team
     service: str = ""
+    left: float | None = None  # seconds from its arrival for which its caller waits; None: its class's deadline
+    tenant: int = 0  # its place in the settings' tenants
 
 
 class Reply(Protocol):
--- a/lapishaven/fronts/__init__.py
+++ b/lapishaven/fronts/__init__.py
@@ -46,6 +46,7 @@
     counters: Counters
     broker: Broker | None
     classes: dict[str, int]
+    tenants: dict[str, int]  # by name, their places in the settings
     draining: bool
 
     def check(self, deep: bool, told: Callable[[bool], None]) -> None: ...
--- a/lapishaven/fronts/platform.py
+++ b/lapishaven/fronts/platform.py
@@ -98,7 +98,10 @@
             return
         self.open[m.id] = None
         self._calls.setdefault(m.call, m.id)  # of two the second is failed
-        sub = Submission(m.call, cls, m.body, m.heap, m.crit, span, m.src, m.rep, write=m.row is None, subject=m.row)
+        sub = Submission(
+            m.call, cls, m.body, m.heap, m.crit, span, m.src, m.rep, write=m.row is None, subject=m.row, key=m.key,
+            left=m.left, tenant=self.host.tenants.get(m.tenant or "", len(self.host.tenants)),
+        )  # fmt: skip
         request = broker.submit(self.host.loop.now, sub, lambda answer: self._answer(m, answer))
         if request is not None:
             self.open[m.id] = request
--- a/lapishaven/proto/jsonrpc.py
+++ b/lapishaven/proto/jsonrpc.py
@@ -17,9 +17,11 @@
 RESULT_LIMIT = 4096  # bytes of a result
 ANSWER_LIMIT = 16 * 1024  # a line of an answer; a result of 4 KiB is 5.5 KiB in base64
 ADVICE_LIMIT = 600.0  # s; advice to stay away past this is read as this
+LEFT_LIMIT = 3600.0  # s for which a caller may say that it waits; no class has a deadline near it
 
 PARSE_ERROR, INVALID_REQUEST, NO_METHOD, INVALID_PARAMS = -32700, -32600, -32601, -32602
 REFUSED, FAILED = -32066, -32000
+KEY_LIMIT = 128  # characters of a key or a tenant's name
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +38,9 @@
     rep: bool = False
     crit: float = 0.0
     row: int | None = None
+    key: str | None = None  # names the effect, the same for every try of it
+    left: float | None = None  # seconds for which the caller still waits, where callers pass their deadline on
+    tenant: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +82,24 @@
     return float(value)
 
 
+def _seconds(params: dict[str, Any], name: str, limit: float) -> float | None:
+    """An optional time, given in milliseconds, from 0 to ``limit`` seconds."""
+    if params.get(name) is None:
+        return None
+    span = _number(params, name) / 1000
+    if not 0 <= span <= limit:
+        raise _BadParams(f"{name} is out of its range")
+    return span
+
+
+def _word(params: dict[str, Any], name: str) -> str | None:
+    """An optional name of printable characters."""
+    value = params.get(name)
+    if value is not None and (not isinstance(value, str) or not 0 < len(value) <= KEY_LIMIT or not value.isprintable()):
+        raise _BadParams(f"{name} is no name")
+    return value
+
+
 def _serve(id: int, method: str, params: dict[str, Any]) -> Serve:
     call = params.get("call")
     if not isinstance(call, str) or len(call) != 16 or not set(call) <= set("0123456789abcdefABCDEF"):
@@ -99,6 +122,7 @@
         id, method, call, body, float(heap),
         recv=_number(params, "recv") / 1000 if params.get("recv") is not None else None,
         src=int(src), rep=bool(params.get("rep")), crit=float(crit), row=subject,
+        key=_word(params, "dedupe"), left=_seconds(params, "ttl", LEFT_LIMIT), tenant=_word(params, "org"),
     )  # fmt: skip
 
 
--- a/lapishaven/server.py
+++ b/lapishaven/server.py
@@ -82,6 +82,7 @@
         self.budget = Budget(config.descriptors, min(reserve, config.descriptors // (2 if spread else 4)))
         self.loop.unsent_limit = config.memory_mb * 1024 * 1024 // UNSENT_PART
         self.classes = {spec.name: n for n, spec in enumerate(config.settings.classes)}
+        self.tenants = {tenant.name: n for n, tenant in enumerate(config.settings.tenants)}
         self.store, self._contracts, self._files = store, contracts, files
         self.keeper, self.fleet = keeper, fleet
         if keeper is not None:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -57,6 +57,12 @@
 }  # fmt: skip
 
 
+def settings(classes: list[dict[str, Any]] | None = None, **extra: Any) -> dict[str, Any]:
+    """The settings with changes to their classes, in order, and to ``extra``."""
+    changed = [{**spec, **more} for spec, more in zip(SETTINGS["profiles"], classes or [{}, {}], strict=True)]
+    return {**SETTINGS, "profiles": changed, "extra": {**SETTINGS["extra"], **extra}}
+
+
 def configuration(**changes: Any) -> str:
     data = {
         "name": "n1", "listen": "127.0.0.1:0", "vm": "127.0.0.1:1", "directory": "127.0.0.1:1",
@@ -159,6 +165,7 @@
     backend: config.UwsgiBackend | None = None
     contracts: list[Contract] | None = None
     store: Sqlite | None = None
+    settings: dict[str, Any] = SETTINGS
     inherits = False  # whether callers' listening socket is one that another process holds too (``held``)
 
     def setUp(self) -> None:
@@ -169,7 +176,7 @@
         self.up: list[Peer] = []
         self.dialled: list[int] = []
         self.vm.banner = self.banner
-        text, environ = configuration(vm="127.0.0.1:2", control="127.0.0.1:0"), {}
+        text, environ = configuration(vm="127.0.0.1:2", control="127.0.0.1:0", settings=self.settings), {}
         if self.inherits:
             self.held = socket.create_server(("127.0.0.1", 0))
             self.addCleanup(self.held.close)
@@ -300,7 +307,9 @@
             method, id = rest[0], int(what)
             params = {"call": self.call(name, what), "heap": 24.5, "crit": 0.9,
                       "arg": base64.b64encode(f"{name}.{what}".encode()).decode()}  # fmt: skip
-            params |= {key: float(value) for key, value in (word.split("=") for word in rest[1:])}
+            words = dict(word.split("=") for word in rest[1:])
+            texts = {name: words.pop(short) for short, name in (("key", "dedupe"), ("of", "org")) if short in words}
+            params |= texts | {key: float(value) for key, value in words.items()}
         head = {"jsonrpc": "2.0", "method": method, **({"id": id} if id else {})}
         return json.dumps({**head, "params": params}).encode() + b"\n"
 
@@ -357,4 +366,4 @@
         return f"{codes.get(code, code)} {answer.get('id')}"
 
 
-__all__ = ["World", "configuration"]
+__all__ = ["World", "configuration", "settings"]
