End every connection by one orderly close: requests that crossed a close were discarded and reset

An end of input is no end of the connection: what is open is answered. Who is gone for good answers our line with a reset, and its runs are halted as before. callers.py (from server.py) closes only what is at rest in the kernel, too; leaving.py has the way out, with all answered 0.2 s before the kill; signals.py notes when a signal came, since the grace counts from there.

--- a/lapishaven/backends/interpreter.py
+++ b/lapishaven/backends/interpreter.py
@@ -207,12 +207,15 @@
         while True:
             data = yield from conn.read()
             if isinstance(data, End):
-                return
+                # Never closed in order: what is still queued here is sent on the next link, and must not be twice.
+                return conn.abort(data)
+            if conn.end is not None:
+                return  # all notices that were not read on it come again on the next link
             try:
                 for message in machine.feed(data or b""):
                     self._told(message)
             except ProtocolError:
-                conn.close(End.PROTOCOL_ERROR)
+                conn.abort(End.PROTOCOL_ERROR)
                 return
 
     def move(self, address: tuple[str, int]) -> None:
@@ -224,10 +227,10 @@
         if conn is not None and conn.end is None:
             if self.ready and not self._moving:
                 self._moving = True
-                self._fence(lambda: conn.close(End.MOVED))
-                self.loop.at(self.loop.now + HANDOVER, lambda: conn.close(End.MOVED))
+                self._fence(lambda: conn.abort(End.MOVED))
+                self.loop.at(self.loop.now + HANDOVER, lambda: conn.abort(End.MOVED))
             elif not self.ready:
-                conn.close(End.MOVED)
+                conn.abort(End.MOVED)
         elif self._pause is not None:
             self._pause.wake()
 
@@ -334,7 +337,15 @@
         if self._doubt:
             self._doubt = [command for command in self._doubt if command.handle != handle]
 
+    def failed(self) -> None:
+        """Its coroutine has ended by a fault: the link goes, and ``run`` may be started again."""
+        if self._conn is not None:
+            self._conn.abort(End.FAULT)
+
     def close(self) -> None:
+        """End for good."""
         self._stopped = True
+        if self._pause is not None:
+            self._pause.wake()
         if self._conn is not None:
-            self._conn.close(End.SHUTDOWN)
+            self._conn.abort(End.SHUTDOWN)
--- a/lapishaven/backends/spread.py
+++ b/lapishaven/backends/spread.py
@@ -166,7 +166,8 @@
         self._on.setdefault(name, set()).add(attempt)
         self.spread.sent(self.loop.now, name)
         self.counters.add("spread", "sent")
-        self.loop.spawn(self._try(attempt, attempt.turn))
+        turn = attempt.turn
+        self.loop.spawn(self._try(attempt, turn), lambda error: self._fault(attempt, turn))
         self._plan()
 
     # ---- One try
@@ -194,6 +195,11 @@
         outcome, result, response = yield from read_response(self.loop, conn, attempt.until)
         self._over(attempt, turn, outcome, result, response)
 
+    def _fault(self, attempt: Attempt, turn: int) -> None:
+        if attempt.conn is not None and attempt.turn == turn:
+            attempt.conn.abort(End.FAULT)
+        self._over(attempt, turn, outcome_of(End.FAULT), b"", None)
+
     def _over(
         self, attempt: Attempt, turn: int, outcome: Outcome, result: bytes, response: proto.Response | None
     ) -> None:  # fmt: skip
@@ -287,10 +293,14 @@
             ],
         }  # fmt: skip
 
+    def failed(self) -> None:
+        """There is no link that could be left behind."""
+
     def close(self) -> None:
+        """End for good."""
         for attempt in list(self._running.values()):
             if attempt.conn is not None:
-                attempt.conn.close(End.SHUTDOWN)
+                attempt.conn.abort(End.SHUTDOWN)
         self._questions.close()
 
 
--- a/lapishaven/backends/uwsgi.py
+++ b/lapishaven/backends/uwsgi.py
@@ -51,7 +51,13 @@
 
     def start(self, handle: str, cls: str, body: bytes, once: bool) -> None:
         self._running[handle] = None
-        self.loop.spawn(self._attempt(handle, cls, body))
+        self.loop.spawn(self._attempt(handle, cls, body), lambda error: self._fault(handle))
+
+    def _fault(self, handle: str) -> None:
+        conn = self._running.get(handle)
+        if conn is not None:
+            conn.abort(End.FAULT)
+        self._end(handle, outcome_of(End.FAULT), 0.0)
 
     def halt(self, handle: str) -> None:
         conn = self._running.get(handle)
@@ -102,10 +108,14 @@
             self._halted.discard(handle)
             self.listener.finished(handle, outcome, spent, result)
 
+    def failed(self) -> None:
+        """There is no link that could be left behind."""
+
     def close(self) -> None:
+        """End for good."""
         for conn in list(self._running.values()):
             if conn is not None:
-                conn.close(End.SHUTDOWN)
+                conn.abort(End.SHUTDOWN)
 
 
 def read_response(
--- a/lapishaven/cli.py
+++ b/lapishaven/cli.py
@@ -118,7 +118,9 @@
     """Serve until SIGTERM; SIGHUP reads the files again, SIGUSR1 prints the counters."""
     from lapishaven.counters import Counters
     from lapishaven.server import Server
+    from lapishaven.signals import Signals
 
+    signals = Signals()  # before the first caller can connect
     loaded, counters, store = _load(path, uwsgi, contracts, pools, spread), Counters(), None
     keeper: LastingKeeper | None = None
     if record is not None and record.endswith(".toml"):
@@ -147,7 +149,7 @@
         _fail(f"cannot listen: {error.strerror or error}")
     if fleet is not None:
         fleet.start()
-    raise typer.Exit(server.run())
+    raise typer.Exit(server.run(signals))
 
 
 @app.command("check-config")
--- a/lapishaven/control/door.py
+++ b/lapishaven/control/door.py
@@ -17,6 +17,7 @@
 from lapishaven.net.conn import Conn
 from lapishaven.net.listener import Budget, Listener
 from lapishaven.net.loop import Loop, Wait
+from lapishaven.net.room import Room
 from lapishaven.proto import http
 
 LIMIT = 16  # calls open at once
@@ -43,24 +44,29 @@
     def __init__(self, loop: Loop, address: tuple[str, int], host: Host, counters: Counters) -> None:
         self.loop, self.host, self.counters = loop, host, counters
         self.calls: dict[Conn, None] = {}  # open, oldest first
+        self._room = Room(loop)
         self.listener = Listener(loop, address, Budget(LIMIT, 0), self._accepted, self._make_room)
 
     def _accepted(self, sock: socket.socket) -> None:
         self.counters.add("control", "calls")
         conn = Conn(self.loop, sock, lambda end: self._ended(conn, end))
         self.calls[conn] = None
-        self.loop.spawn(self._serve(conn))
+        self.loop.spawn(self._serve(conn), lambda error: conn.close(End.FAULT))
 
     def _make_room(self) -> bool:
-        if not self.calls:
-            return False
-        self.counters.add("control", "evicted")
-        next(iter(self.calls)).close(End.EVICTED)
-        return True
+        if self._room.free():
+            return True
+        oldest = next((conn for conn in self.calls if conn.closing is None), None)
+        if oldest is not None and not len(self._room):
+            self.counters.add("control", "evicted")
+            oldest.close(End.EVICTED)
+            self._room.add(oldest)
+        return not self.listener.budget.full
 
     def _ended(self, conn: Conn, end: End) -> None:
         del self.calls[conn]
         self.listener.budget.used -= 1
+        self.listener.room_made()
         self.counters.add("ends", f"control {end.value}")
 
     def _serve(self, conn: Conn) -> Generator[Wait, Any, None]:
@@ -68,15 +74,15 @@
         while (span := until - self.loop.now) > 0:
             data = yield from conn.read(span)
             if isinstance(data, End):
-                return
+                return conn.close(data)
             try:
                 call = calls.feed(data) if data is not None else None
             except http.BadCall as error:
                 conn.write(calls.response(error.status, f"{error}\n".encode()))
-                return conn.finish(End.PROTOCOL_ERROR)
+                return conn.close(End.PROTOCOL_ERROR)
             if call is not None:
                 conn.write(self.answer(calls, *call))
-                return conn.finish(End.FINISHED)
+                return conn.close(End.FINISHED)
         conn.close(End.TIMED_OUT)
 
     def answer(self, calls: http.Calls, method: str, path: str) -> bytes:
@@ -93,7 +99,8 @@
         return calls.response(200, self.host.metrics(), METRICS_TYPE)
 
     def close(self) -> None:
-        """No more calls; those open are closed."""
-        self.listener.close()
+        """No more calls; those open are closed at once, as the process ends."""
+        self.listener.abandon()
         for conn in list(self.calls):
-            conn.close(End.SHUTDOWN)
+            conn.flush()
+            conn.abort(End.SHUTDOWN)
--- a/lapishaven/core/broker.py
+++ b/lapishaven/core/broker.py
@@ -34,7 +34,7 @@
 
 IDS = 1 << 32
 GAUGE_WAIT = 0.25  # s; a poll goes to the module without gauges after this, so its timers never stand still
-KILL_ROOM = 0.1  # s before the kill at which the net answers what is left
+LEAVE_ROOM = 0.2  # s before the kill at which all that is left is answered: time for its way out, however slow the box
 ONCE_LIFE = 900.0  # s for a key; far longer than any caller keeps a try
 TRY_LIFE = 75.0  # s for a try's name: a copy bears its time, and one from over a minute ago is an error
 NEVER_RAN = (i.Outcome.FULL, i.Outcome.UNREACHED)  # outcomes that prove it
@@ -78,12 +78,15 @@
         self._polls: list[tuple[float, int]] = []  # marks that wait for gauges, and until when
         self._dues: list[tuple[float, int]] = []
         self._orphans: list[tuple[float, int]] = []
-        self._started = False
+        self._started = self._closed = False
 
     # ---- From the fronts
     def submit(self, now: float, sub: Submission, reply: Reply) -> Request | None:
         """Take a request into the table; ``None`` if it was answered at once."""
         self.counters.add("requests", "read")
+        if self._closed:
+            self._send(sub, reply, Answer(Kind.REFUSED, reason="the server leaves", pushback=BACKEND_WAIT))
+            return None
         if sub.handle in self.by_handle or self.tries.claimed(sub.handle):
             # The backend knows runs by this name, so a second request under it could meet the first one's
             # result. It may have run, so this is no refusal.
@@ -113,7 +116,7 @@
         arrived = now - min(max(sub.age, 0.0), span)
         r = Request(self._new_id(), sub, reply, arrived, arrived + span, backend)
         self.requests[r.id] = self.by_handle[sub.handle] = r
-        heappush(self._dues, (min(max(r.due, now), self._kill_at - KILL_ROOM), r.id))
+        heappush(self._dues, (min(max(r.due, now), self._kill_at - LEAVE_ROOM), r.id))
         if sub.key is not None and spec.effect is not i.Effect.SAFE:
             known = self.keys.find((sub.cls, sub.key), now)
             if known is None:
@@ -244,7 +247,24 @@
         self.draining, self._kill_at = now, kill_at
         self._events.append(i.Drain(kill_at))
         for r in self.requests.values():
-            heappush(self._dues, (kill_at - KILL_ROOM, r.id))
+            heappush(self._dues, (kill_at - LEAVE_ROOM, r.id))
+
+    def hurry(self, kill_at: float) -> None:
+        """The kill comes sooner than it was said."""
+        self._kill_at = min(self._kill_at, kill_at)
+        for r in self.requests.values():
+            heappush(self._dues, (self._kill_at - LEAVE_ROOM, r.id))
+
+    def answer_all(self, now: float) -> None:
+        """The last moment has come: every open request is answered as it stands, and what still comes is refused."""
+        self._closed = True
+        for r in [r for r in self.requests.values() if r.reply is not None]:
+            never_ran = not r.ran and r.state is State.HELD
+            kind = Kind.REFUSED if never_ran else Kind.FAILED
+            self._events.append(i.Gone(r.id))
+            self._answer(r, Answer(kind, reason="the server leaves", pushback=BACKEND_WAIT if never_ran else None))
+            if r.state in (State.HELD, State.ATTACHED, State.PAUSED):
+                self._close(r)
 
     @property
     def open_requests(self) -> int:
--- a/lapishaven/ends.py
+++ b/lapishaven/ends.py
@@ -23,6 +23,7 @@
     ABANDONED = "abandoned"
     SHUTDOWN = "shutdown"
     MOVED = "moved"  # the other side has a new address
+    FAULT = "fault"  # a fault of this program
 
 
 # What the end of a backend's connection proves about the attempt that it carried. Only UNREACHED proves
@@ -41,6 +42,7 @@
     End.ABANDONED: Outcome.CANCELLED,
     End.SHUTDOWN: Outcome.CANCELLED,
     End.MOVED: Outcome.RESET,
+    End.FAULT: Outcome.RESET,
 }
 
 
--- a/lapishaven/fronts/__init__.py
+++ b/lapishaven/fronts/__init__.py
@@ -33,10 +33,16 @@
 
     @property
     def busy(self) -> bool:
-        """Whether something that was read is still to be answered."""
+        """Whether something that was read is still to be taken up or answered."""
 
-    def run(self) -> Generator[Wait, Any, None]: ...
-    def drain(self) -> None: ...
+    def run(self) -> Generator[Wait, Any, None]:
+        """Read and serve until the input ends."""
+
+    def drain(self) -> None:
+        """Tell the peer that nothing new is to be sent here, where its protocol has words for that."""
+
+    def leave(self, end: End) -> None:
+        """Take up nothing more, and close once all that is open is answered."""
 
 
 class Host(Protocol):
@@ -47,7 +53,10 @@
     broker: Broker | None
     classes: dict[str, int]
     tenants: dict[str, int]  # by name, their places in the settings
-    draining: bool
+
+    @property
+    def draining(self) -> bool:
+        """Whether the notice to leave has come."""
 
     def check(self, deep: bool, told: Callable[[bool], None]) -> None: ...
     def ended(self, session: Session, end: End) -> None: ...
--- a/lapishaven/fronts/platform.py
+++ b/lapishaven/fronts/platform.py
@@ -17,8 +17,6 @@
 from lapishaven.proto import TooLarge, jsonrpc
 
 OPEN_LIMIT = 64  # open requests on a connection past which more are an error; the protocol allows 32
-
-
 SLICE = 16  # messages of one connection in a round, so that a flood on one does not hold up the others
 
 
@@ -31,19 +29,22 @@
         self.open: dict[int, Request | None] = {}  # by the id on this connection
         self._calls: dict[str, int] = {}
         self.since: float | None = host.loop.now
+        self._feeding = False  # whether messages that were read are still to be taken up
+        self._leaving: End | None = None
         if host.draining:
             self.conn.write(jsonrpc.DRAINING)
 
     @property
     def busy(self) -> bool:
-        return bool(self.open)
+        return bool(self.open) or self._feeding
 
     def run(self) -> Generator[Wait, Any, None]:
         machine = jsonrpc.Server()
         while True:
             data = yield from self.conn.read()
             if isinstance(data, End):
-                return
+                return self._input_ended(data)
+            self._feeding = True
             try:
                 for n, message in enumerate(machine.feed(data or b""), 1):
                     if n % SLICE == 0:
@@ -53,9 +54,29 @@
                     self._message(message)
             except TooLarge as error:
                 self.conn.write(jsonrpc.error(None, jsonrpc.PARSE_ERROR, str(error)))
-                self.conn.finish(End.TOO_LARGE)
-                return
+                self._leaving = End.TOO_LARGE
+            finally:
+                self._feeding = False
             self.since = None if machine.whole else self.host.loop.now if self.since is None else self.since
+            if self._leaving is not None:
+                return self.leave(self._leaving)
+
+    def _input_ended(self, end: End) -> None:
+        """The peer sends no more. It may still wait for its answers, or be gone; where it is gone, what is written
+        comes back as a reset. So it is told at once what holds anyhow: nothing new reaches this connection."""
+        if self.open and end is End.PEER_CLOSED:
+            self.host.counters.add("platform", "half-closed with requests open")
+            self.conn.write(jsonrpc.DRAINING)
+        self.leave(end)
+
+    def leave(self, end: End) -> None:
+        """Take up nothing more, and close once all that is open is answered."""
+        self._leaving = end
+        if self._feeding:
+            return  # what was read is taken up first
+        self.conn.discard()
+        if not self.open:
+            self.conn.close(end)
 
     def _message(self, message: jsonrpc.Message) -> None:
         if isinstance(message, jsonrpc.Serve):
@@ -127,6 +148,11 @@
         if id in self.open:
             del self.open[id]
             self.conn.write(line)
+            self._close_if_done()
+
+    def _close_if_done(self) -> None:
+        if self._leaving is not None and not self.open and not self._feeding:
+            self.conn.close(self._leaving)
 
     def drain(self) -> None:
         self.conn.write(jsonrpc.DRAINING)
--- a/lapishaven/fronts/uwsgi.py
+++ b/lapishaven/fronts/uwsgi.py
@@ -98,6 +98,7 @@
         self.conn = Conn(host.loop, sock, self._ended)
         self._request: Request | None = None
         self._open = False
+        self._leaving: End | None = None
         self.since: float | None = host.loop.now
 
     @property
@@ -109,13 +110,13 @@
         while True:
             data = yield from self.conn.read()
             if isinstance(data, End):
-                return
+                return self._give_up(data)
             if data is None:
                 continue
             if machine.done:
                 after += len(data)
                 if after > AFTER:
-                    return self.conn.close(End.PROTOCOL_ERROR)
+                    return self._give_up(End.PROTOCOL_ERROR)
                 continue
             try:
                 request = machine.feed(data)
@@ -132,7 +133,7 @@
         if self.conn.left():
             # It gave this up, while the process was stopped or the packet waited: nobody wants it run.
             self.host.counters.add("uwsgi", "given up before it was read")
-            return self.conn.close(End.PEER_CLOSED)
+            return self._give_up(End.PEER_CLOSED)
         handle = f"{self._random.getrandbits(64):016x}"
         sub = submission(request, self.host.classes, self.front, handle, time.time())
         self.host.counters.add("uwsgi", "requests")
@@ -156,18 +157,29 @@
                 headers += (("Retry-After", str(math.ceil(wait))), ("X-Pushback-Ms", str(round(wait * 1000))))
                 headers += (("X-Stop", "1"),) if answer.stop else ()
             self.conn.write(proto.response(status, answer.reason.encode(), "text/plain", headers))
-        self.conn.finish(End.FINISHED)
+        self.conn.close(self._leaving or End.FINISHED)
 
     def _error(self, status: HTTPStatus, text: str) -> None:
         self.host.counters.add("uwsgi", f"status {status.value}")
         self.conn.write(proto.response(status, text.encode(), "text/plain"))
-        self.conn.finish(End.FINISHED)
+        self.conn.close(End.FINISHED)
 
     def drain(self) -> None:
         """Nothing to tell: a uwsgi connection carries one request and is closed after its answer."""
 
-    def _ended(self, end: End) -> None:
+    def leave(self, end: End) -> None:
+        """Close once the request is answered, at once where there is none."""
+        self._leaving = end
+        if not self._open:
+            self.conn.close(end)
+
+    def _give_up(self, end: End) -> None:
+        """The client has gone, and a gateway's client that closes no longer waits."""
         if self._request is not None and self.host.broker is not None:
             self.host.broker.gone(self._request)
         self._open = False
+        self.conn.close(end)
+
+    def _ended(self, end: End) -> None:
+        self._give_up(end)
         self.host.ended(self, end)
--- a/lapishaven/net/listener.py
+++ b/lapishaven/net/listener.py
@@ -6,9 +6,10 @@
 import socket
 from collections.abc import Callable
 
-from lapishaven.net.loop import Loop
+from lapishaven.net.loop import Loop, Timer
 
 ACCEPTS = 64  # connections taken in one wake-up, so that a crowd at the door does not starve the rest
+FULL_WAIT = 0.02  # s until the next look, where there is no descriptor for who waits at the door
 
 
 class Budget:
@@ -18,6 +19,11 @@
         self.room = max(1, descriptors - reserve)
         self.used = 0
 
+    @property
+    def full(self) -> bool:
+        """Whether no further connection may be opened."""
+        return self.used >= self.room
+
 
 class Listener:
     """Accepts while the budget has room; ``make_room`` may close what is idle."""
@@ -49,6 +55,7 @@
             self.sock.listen(1024)
         self.address: tuple[str, int] = self.sock.getsockname()
         self._opened = False
+        self._full: Timer | None = None
         if not self.shared:
             self.open()
 
@@ -60,41 +67,75 @@
             self._resume()
 
     def _resume(self) -> None:
+        self._full = None
         if self.sock is not None:
             self.loop.watch(self.sock.fileno(), select.EPOLLIN, self._ready)
 
+    def _wait_for_room(self) -> None:
+        # Left in the queue rather than accepted and dropped: who waits there has lost nothing yet.
+        if self.sock is not None and self._full is None:
+            self.loop.unwatch(self.sock.fileno())
+            self._full = self.loop.at(self.loop.now + FULL_WAIT, self._resume)
+
+    def room_made(self) -> None:
+        """A descriptor came free: who waits at the door need not wait for the next look."""
+        if self._full is not None:
+            self._full.cancel()
+            self._resume()
+
     def _ready(self, mask: int) -> None:
         for n in range(ACCEPTS):
-            if self.sock is None or n and self.budget.used >= self.budget.room:
+            if n and self.budget.full:
                 return  # epoll tells again if another one waits; none must be pushed out for nobody
-            if self.budget.used >= self.budget.room and not self._make_room():
-                # Left in the queue rather than accepted and dropped: who waits there has lost nothing yet.
-                self.loop.unwatch(self.sock.fileno())
-                self.loop.at(self.loop.now + 0.02, self._resume)
+            if not self._accept():
                 return
-            try:
-                sock, _ = self.sock.accept()
-            except BlockingIOError:
-                return
-            except OSError:
-                self.loop.unwatch(self.sock.fileno())
-                self.loop.at(self.loop.now + 0.02, self._resume)
-                return
-            self.adopt(sock)
+
+    def _accept(self) -> bool:
+        """Serve the next in the queue; whether there was one, and a descriptor for it."""
+        if self.sock is None:
+            return False
+        if self.budget.full and not self._make_room():
+            self._wait_for_room()
+            return False
+        try:
+            sock, _ = self.sock.accept()
+        except BlockingIOError:
+            return False
+        except ConnectionError:
+            return True  # it has left the queue already
+        except OSError:
+            self._wait_for_room()
+            return False
+        self.adopt(sock)
+        return True
 
     def adopt(self, sock: socket.socket) -> None:
         """Serve a connection that is there already."""
         self.budget.used += 1
         self._accepted(sock)
 
-    def close(self) -> None:
-        """Take what the kernel has accepted already, as it may carry requests, then shut the door.
+    def close(self) -> bool:
+        """Take all that the kernel has accepted already, as it may carry requests, then shut the door. Whether it is
+        shut: with no descriptor for who waits there it stays open, to be closed later.
 
         A shared socket is left to the other process that holds it: what waits in its queue is for that one.
         """
+        if self.sock is None:
+            return True
+        if not self.shared:
+            while self._accept():
+                pass
+            if self._full is not None:
+                return False
+        self.abandon()
+        return True
+
+    def abandon(self) -> None:
+        """Shut the door, whoever waits there."""
         if self.sock is not None:
-            if not self.shared:
-                self._ready(0)
             self.loop.unwatch(self.sock.fileno())
             self.sock.close()
             self.sock = None
+        if self._full is not None:
+            self._full.cancel()
+            self._full = None
--- a/lapishaven/server.py
+++ b/lapishaven/server.py
@@ -18,6 +18,7 @@
 from lapishaven.backends import Driver
 from lapishaven.backends.interpreter import Interpreter
 from lapishaven.backends.uwsgi import Uwsgi
+from lapishaven.callers import Callers
 from lapishaven.catalog import Reporter
 from lapishaven.config import Config, ConfigError, Files, UwsgiBackend, UwsgiFront, renumbered
 from lapishaven.control import Door
@@ -30,10 +31,11 @@
 from lapishaven.counters import Counters
 from lapishaven.ends import End
 from lapishaven.fronts import Session, platform, uwsgi
+from lapishaven.leaving import Leaving
 from lapishaven.net.conn import Dial, connect
 from lapishaven.net.listener import Budget, Listener
 from lapishaven.net.loop import Loop
-from lapishaven.net.wake import Wake
+from lapishaven.signals import Signals
 from lapishaven.store import Entry, Store
 
 if TYPE_CHECKING:
@@ -44,10 +46,9 @@
 
 RESERVE = 32  # descriptors for the program itself: streams, epoll, doors, links and those on their way out
 ATTEMPTS = 64  # and for attempts of the uwsgi backend, where there is one
-WHOLE = 2.0  # s for a message to come whole, the first one counted from the accept
 UNSENT_PART = 8  # part of the memory that answers may take up which callers do not read
-SWEEP = 0.05  # s between looks for idle connections
-LEAVE_ROOM = 0.15  # s before the kill at which the program ends by itself
+IDLE = 15.0  # s after which an idle connection is closed where the settings name no time
+RESTART = 1.0  # s until a part that a fault of ours has ended is started again
 HOLD_OFF = 2.0  # s at the most for which a new process leaves an inherited socket to the old one
 
 
@@ -75,11 +76,10 @@
         self.log = log or (lambda text: print(text, file=sys.stderr, flush=True))
         self.counters = counters or Counters()
         self.broker: Broker | None = None
-        self.draining = False
-        self.sessions: dict[Session, float] = {}  # when each was last looked at, oldest look first
         attempts = spread.attempts if spread is not None else ATTEMPTS if backend is not None else 0
         reserve = RESERVE + attempts + (CONTROL_LIMIT if config.control else 0)
         self.budget = Budget(config.descriptors, min(reserve, config.descriptors // (2 if spread else 4)))
+        self.callers = Callers(self.loop, self.budget, self.counters, config.settings.idle or IDLE)
         self.loop.unsent_limit = config.memory_mb * 1024 * 1024 // UNSENT_PART
         self.classes = {spec.name: n for n, spec in enumerate(config.settings.classes)}
         self.tenants = {tenant.name: n for n, tenant in enumerate(config.settings.tenants)}
@@ -106,8 +106,6 @@
         self.backend = next(iter(self.drivers.values()))
         self.reporter = Reporter(self.loop, config.catalog, config.name, self.counters, dial)
         self._good = False
-        self._idle = config.settings.idle or 15.0
-        self._kill_at = float("inf")
 
         def platform_session(sock: socket.socket) -> Session:
             return platform.Session(self, sock)
@@ -126,10 +124,26 @@
             self.listeners.append(
                 self._listen(front.listen, lambda sock: uwsgi.Session(self, sock, front, random, word))
             )
-        for driver in self.drivers.values():
-            self.loop.spawn(driver.run())
-        self.loop.spawn(self.reporter.run())
-        self._sweep()
+        self.leaving = Leaving(self.loop, self.callers, self.listeners)
+        for name, driver in self.drivers.items():
+            self._keep_running(name, driver)
+        self._keep_running("catalog", self.reporter)
+
+    @property
+    def draining(self) -> bool:
+        """Whether the notice to leave has come."""
+        return self.leaving.noticed is not None
+
+    def _keep_running(self, name: str, part: Driver | Reporter) -> None:
+        """Run a part's coroutine, and again after a fault of ours in it: a server that has lost its link to the
+        interpreter or the catalog for good would serve nobody."""
+
+        def failed(error: Exception) -> None:
+            self.counters.add("faults", name)
+            part.failed()
+            self.loop.at(self.loop.now + RESTART, lambda: self._keep_running(name, part))
+
+        self.loop.spawn(part.run(), failed)
 
     def _spreading(self, settings: SpreadSettings, dial: Dial) -> Spreading:
         from lapishaven.backends.spread import Spreading
@@ -207,7 +221,7 @@
             self.fleet.late(not good)
 
     def idle(self, span: float) -> None:
-        self._idle = span or self.config.settings.idle or 15.0
+        self.callers.idle = span or self.config.settings.idle or IDLE
 
     def remark(self, text: str) -> None:
         self.log(f"remark: {text}")
@@ -217,12 +231,9 @@
         self, address: tuple[str, int], session_of: Callable[[socket.socket], Session], inherited: int | None = None
     ) -> Listener:
         def accepted(sock: socket.socket) -> None:
-            self.counters.add("connections", "accepted")
-            session = session_of(sock)
-            self.sessions[session] = self.loop.now
-            self.loop.spawn(session.run())
+            self.callers.add(session_of(sock))
 
-        return Listener(self.loop, address, self.budget, accepted, self._make_room, inherited)
+        return Listener(self.loop, address, self.budget, accepted, self.callers.make_room, inherited)
 
     # ---- The control address
     def ready(self) -> bool:
@@ -238,9 +249,10 @@
         return self.spreading.state() if self.spreading is not None else None
 
     def ended(self, session: Session, end: End) -> None:
-        if self.sessions.pop(session, None) is not None:
-            self.budget.used -= 1
-            self.counters.add("ends", f"caller {end.value}")
+        """A front's connection has ended and its descriptor is free."""
+        self.callers.ended(session, end)
+        for listener in self.listeners:
+            listener.room_made()
 
     def check(self, deep: bool, told: Callable[[bool], None]) -> None:
         if not self._good or not deep:
@@ -248,33 +260,6 @@
         else:
             self.backend.smoke(told)
 
-    def _make_room(self) -> bool:
-        """Close a connection that has long been idle, if any is.
-
-        Each in turn is let off once for a whole message since the last look, so that a crowd which says
-        nothing goes before callers that come back. A look costs the same however many are there.
-        """
-        for _ in range(len(self.sessions)):
-            session = next(iter(self.sessions))
-            said = session.since is None and session.conn.active > self.sessions[session]
-            if not (said or session.busy or session.conn.out.size):
-                session.conn.close(End.EVICTED)
-                return True
-            del self.sessions[session]
-            self.sessions[session] = session.conn.active
-        return False
-
-    def _sweep(self) -> None:
-        old, late = self.loop.now - self._idle, self.loop.now - WHOLE
-        for session in [s for s in self.sessions if not s.busy]:
-            if session.since is not None:
-                # Silent or half-open: no use of it, while callers may want its place.
-                if session.since <= late:
-                    session.conn.close(End.TIMED_OUT)
-            elif session.conn.active < old and not session.conn.out.size:
-                session.conn.close(End.IDLE)
-        self.loop.at(self.loop.now + SWEEP, self._sweep)
-
     # ---- Reloading
     def reload(self) -> None:
         """Read the files again. What is open, runs or is connected goes on; a bad file changes nothing."""
@@ -317,17 +302,16 @@
         self.config = replace(
             old, interpreter=new.interpreter, catalog=new.catalog, stop_span=new.stop_span, settings=settings
         )
+        self.leaving.shorten(new.stop_span)
         kept = [n for n in ("name", "listen", "descriptors", "memory_mb")
                 if getattr(new, n) != getattr(old, n)]  # fmt: skip
         self.log("reload: done" + (f"; only a restart changes {', '.join(kept)}" if kept else ""))
 
     # ---- Leaving
-    def drain(self) -> None:
-        """The notice to leave came."""
+    def drain(self, noticed: float | None = None) -> None:
+        """The notice to leave came, at ``noticed`` by the loop's clock."""
         if self.draining:
             return
-        self.draining = True
-        self._kill_at = self.loop.now + self.config.stop_span
         if self.fleet is not None:
             self.fleet.leave()
         if self.load is not None:
@@ -336,24 +320,8 @@
             # An upgrade: the new process serves the shared socket and reports to the catalog from now on.
             self.listeners[0].close()
             self.reporter.close()
-        for session in self.sessions:
-            session.drain()
-        if self.broker is None:
-            self.loop.stop()
-            return
-        self.broker.drain(self.loop.now, self._kill_at)
-        self.loop.at(self.loop.now + self.config.settings.drain_grace, self._close_doors)
-        self.loop.at(self._kill_at - LEAVE_ROOM, self._leave)
-
-    def _close_doors(self) -> None:
-        for listener in self.listeners:
-            listener.close()
-
-    def _leave(self) -> None:
-        for session in list(self.sessions):
-            session.conn.flush()
-            session.conn.close(End.DRAINED)
-        self.loop.stop()
+        began = self.loop.now if noticed is None else noticed
+        self.leaving.begin(began, self.config.stop_span, self.config.settings.drain_grace, lambda: self.broker)
 
     # ---- Running
     def turn(self, now: float) -> None:
@@ -363,12 +331,11 @@
     def next_at(self) -> float | None:
         return self.broker.next_at() if self.broker is not None else None
 
-    def run(self) -> int:
-        wake = Wake()
-        old = signal.set_wakeup_fd(wake.writer, warn_on_full_buffer=False)
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1):
-            signal.signal(number, lambda *_: None)  # told through the descriptor
-        self.loop.watch(wake.reader, 1, lambda mask: self._signals(wake.drain()))
+    def run(self, signals: Signals | None = None) -> int:
+        """Serve until the notice to leave has been carried out. ``signals`` may have been heard from before on."""
+        own = signals is None
+        signals = signals or Signals()
+        self.loop.watch(signals.ready, 1, lambda mask: self._signalled(signals.take()))
         doors = " and ".join("{}:{}".format(*listener.address) for listener in self.listeners)
         self.log(f"lapishaven {self.config.name} pid {os.getpid()} at {doors}")
         # What is there at the start stays, so the collector need not walk it again in the middle of a day.
@@ -377,10 +344,7 @@
         try:
             self.loop.run(self.turn, self.next_at)
         finally:
-            signal.set_wakeup_fd(old)
-            self.loop.unwatch(wake.reader)
-            wake.close()
-            self._close_doors()
+            self.loop.unwatch(signals.ready)
             if self.control_door is not None:  # open to the end: the figures are read while it drains
                 self.control_door.close()
             for driver in self.drivers.values():
@@ -396,6 +360,8 @@
                 self.fleet.close()
             self.reporter.close()
             self.tell_counters()
+            if own:
+                signals.close()
         return 0
 
     def tell_counters(self) -> None:
@@ -411,12 +377,12 @@
             self.counters.groups["ownership"] = Counter(self.fleet.state())
         self.log(self.counters.line())
 
-    def _signals(self, numbers: bytes) -> None:
-        for number in numbers:
+    def _signalled(self, came: list[tuple[int, float]]) -> None:
+        for number, when in came:
             self.log(f"signal {number} at {time.time():.3f}")
             if number == signal.SIGUSR1:
                 self.tell_counters()
             elif number == signal.SIGHUP:
                 self.reload()
             else:
-                self.drain()
+                self.drain(when)
