--- a/lapishaven/catalog.py
+++ b/lapishaven/catalog.py
@@ -70,7 +70,8 @@
 
     def _usable(self) -> bool:
         conn, http = self._conn, self._http
-        return conn is not None and conn.end is None and conn.closing is None and http is not None and http.reusable
+        # The catalog may have closed it since the last answer, which nobody was waiting to read.
+        return conn is not None and conn.closing is None and not conn.left() and http is not None and http.reusable
 
     def _connected(self) -> Generator[Wait, Any, bool]:
         """Whether there is a connection to the catalog's address of now, dialled if need be."""
