Keep a run that a further try waits for, and let an expired key be a new request

tests/test_repeats.py forces repeats and broken links across the end of a run. Three of its crossings fail without the change (seen before it): a repeat attached to a run is failed when its first try's caller leaves, as the run is stopped (Broker, on Halt); one that comes while the run is being stopped likewise; a key past its time still bars its run, as only OnceGuard.full forgot what was expired, and nothing but a claim called it. Now a run that a repeat waits for is not stopped, or goes on where it was paused, and the guard forgets before it is asked. Refuted: a repeat in one wake-up with the end of its first try, either way round; the window's edge; a window that shrinks or an effect that changes in a reload; a repeat of a run lost with its link is failed, never refused; results cut by the link's end; the end of a probed run on the next link; a banner behind the link's reset.

--- a/lapishaven/core/broker.py
+++ b/lapishaven/core/broker.py
@@ -156,6 +156,10 @@
             self.counters.add("attempts", "unknown end")
             return
         self.counters.add("attempts", outcome.name.lower())
+        if outcome is i.Outcome.CANCELLED and r.reply is None and self.settings.halt == "pause" and self._awaited(r):
+            # A further try came while it was being stopped.
+            r.backend.resume(r.sub.handle)
+            return
         self._events.append(i.Finished(r.id, spent, outcome))
         if outcome is i.Outcome.CANCELLED and r.reply is not None:
             r.state = State.PAUSED  # the module says what becomes of it
@@ -181,6 +185,11 @@
             self._answer(r, Answer(Kind.FAILED, reason=f"the run ended: {outcome.name.lower()}"))
         self._close(r, result if outcome is i.Outcome.OK else None)
 
+    def _awaited(self, r: Request) -> bool:
+        """Whether a further try of it waits for its result."""
+        followers = (self.requests.get(id) for id in r.followers)
+        return any(f is not None and f.reply is not None for f in followers)
+
     def _kept(self, sub: Submission) -> bool:
         """Whether its result is kept beyond this life."""
         safe = self.settings.classes[sub.cls].effect is i.Effect.SAFE
@@ -340,7 +349,8 @@
             if r.state not in (State.RUNNING, State.INTENDING, State.RECORDING):
                 self._close(r)
         elif isinstance(action, i.Halt):
-            if r.state is State.RUNNING:
+            # Its further tries wait for what it makes, though its own caller has gone.
+            if r.state is State.RUNNING and not self._awaited(r):
                 r.backend.halt(r.sub.handle)
         elif isinstance(action, i.Keep):
             if r.sub.key is not None:
@@ -398,6 +408,7 @@
         if self.settings.classes[sub.cls].effect is i.Effect.SAFE:
             return None
         key = (sub.cls, sub.key)
+        self.effects.expire(now)
         if self.tries.claimed(sub.handle) or sub.key is not None and self.effects.claimed(key):
             return Answer(Kind.FAILED, reason="it ran before")
         if self.tries.full(now) or sub.key is not None and self.effects.full(now):
--- a/lapishaven/core/once.py
+++ b/lapishaven/core/once.py
@@ -20,12 +20,16 @@
         self._ends: list[tuple[float, int, Hashable]] = []
         self._order = count()
 
-    def full(self, now: float) -> bool:
-        """Whether no further name can be claimed; forgets what is past its life."""
+    def expire(self, now: float) -> None:
+        """Forget what is past its life."""
         while self._ends and self._ends[0][0] <= now:
             until, _, name = heappop(self._ends)
             if self._claimed.get(name) == until:
                 del self._claimed[name]
+
+    def full(self, now: float) -> bool:
+        """Whether no further name can be claimed; forgets what is past its life."""
+        self.expire(now)
         return len(self._claimed) >= self.limit
 
     def claim(self, now: float, name: Hashable, life: float | None = None) -> None:
