--- a/benchmarks/client.py
+++ b/benchmarks/client.py
@@ -100,8 +100,10 @@
         for client in clients:
             await client.aclose()
         return {
-            "cpu_us_per_call": round(cpu * 1e6, 1), "calls_per_s": round(rate), "kb_per_idle_client": round(grown, 1),
-        }  # fmt: skip
+            "cpu_us_per_call": round(cpu * 1e6, 1),
+            "calls_per_s": round(rate),
+            "kb_per_idle_client": round(grown, 1),
+        }
     finally:
         echo.kill()
         echo.wait()
@@ -117,10 +119,24 @@
     return round((time.process_time() - cpu) / calls * 1e6, 1)
 
 
-SIM_HEAD = ("servers", "clients", "trouble", "client", "seeds", "storm", "worst", "over_calls", "worth", "balance",
-            "late", "unmarked", "twice", "events_per_s", "wall_s")  # fmt: skip
-TROUBLES = {"calm": "", "kill": "2 kill 20% back 5", "deploy": "1 deploy 98% batch 16% every 5.3",
-            "start": ""}  # fmt: skip
+SIM_HEAD = (
+    "servers",
+    "clients",
+    "trouble",
+    "client",
+    "seeds",
+    "storm",
+    "worst",
+    "over_calls",
+    "worth",
+    "balance",
+    "late",
+    "unmarked",
+    "twice",
+    "events_per_s",
+    "wall_s",
+)
+TROUBLES = {"calm": "", "kill": "2 kill 20% back 5", "deploy": "1 deploy 98% batch 16% every 5.3", "start": ""}
 CLIENTS: dict[str, dict[str, Any]] = {"ours": {}, "today": {"subsetting": "rendezvous"}, "naive": {"naive": True}}
 BALANCE = 1.3
 
@@ -153,12 +169,20 @@
 
     def cells(self) -> list[Any]:
         return [
-            self.servers, self.clients, self.trouble, self.client, len(self.found), round(self.storm, 3),
-            round(max(self.storms), 3), round(self.mean("storm"), 3), round(self.mean("worth"), 4),
-            round(self.mean("balance"), 3), *(sum(f[key] for f in self.found) for key in
-            ("late_tries", "unmarked", "commits_twice")), round(self.mean("events_per_s")),
+            self.servers,
+            self.clients,
+            self.trouble,
+            self.client,
+            len(self.found),
+            round(self.storm, 3),
+            round(max(self.storms), 3),
+            round(self.mean("storm"), 3),
+            round(self.mean("worth"), 4),
+            round(self.mean("balance"), 3),
+            *(sum(f[key] for f in self.found) for key in ("late_tries", "unmarked", "commits_twice")),
+            round(self.mean("events_per_s")),
             round(self.mean("wall_s"), 1),
-        ]  # fmt: skip
+        ]
 
     def missed(self) -> list[str]:
         """What misses its bar; only ours is held to any."""
@@ -167,8 +191,9 @@
         name = f"simulated {self.trouble} at {self.servers} servers, {self.clients} clients"
         out = [
             f"{name}: {sum(f[key] for f in self.found)} {key}"
-            for key in ("late_tries", "unmarked", "commits_twice") if any(f[key] for f in self.found)
-        ]  # fmt: skip
+            for key in ("late_tries", "unmarked", "commits_twice")
+            if any(f[key] for f in self.found)
+        ]
         if self.trouble == "calm":
             return out
         if self.storm > STORM:
@@ -188,22 +213,37 @@
     today's client was not tried at 100,000, where ours takes over 16 minutes and 5 GB: each is left out there."""
     all_three, two = ("ours", "today", "naive"), ("ours", "today")
     sizes: list[tuple[int, int, int, tuple[str, ...]]] = (
-        [(10, 100, 4, two), (30, 300, 1, two)] if short else
-        [(10, 100, 8, all_three), (100, 1000, 2, all_three), (1000, 10_000, 1, two), (100, 10_000, 1, two),
-         (1000, 100_000, 1, ("ours",))]
-    )  # fmt: skip
+        [(10, 100, 4, two), (30, 300, 1, two)]
+        if short
+        else [
+            (10, 100, 8, all_three),
+            (100, 1000, 2, all_three),
+            (1000, 10_000, 1, two),
+            (100, 10_000, 1, two),
+            (1000, 100_000, 1, ("ours",)),
+        ]
+    )
     plans = [
         (servers, clients, trouble, client, seed + n)
-        for servers, clients, seeds, kinds in sizes for trouble in TROUBLES for client in kinds for n in range(seeds)
-    ]  # fmt: skip
+        for servers, clients, seeds, kinds in sizes
+        for trouble in TROUBLES
+        for client in kinds
+        for n in range(seeds)
+    ]
     specs: list[dict[str, Any]] = [
-        {"servers": servers, "clients": clients, "script": TROUBLES[trouble], "seed": each, **CLIENTS[client],
-         # A thin client's first call comes later, and a window is whole only after a few cycles.
-         "settle": 0.0 if trouble == "start" else (20.0 if short else 30.0) if clients <= 10 * servers else 80.0,
-         "seconds": 12.0 if trouble == "start" else (24.0 if short else 30.0) if trouble == "kill" else 60.0,
-         "together": trouble == "start"}
+        {
+            "servers": servers,
+            "clients": clients,
+            "script": TROUBLES[trouble],
+            "seed": each,
+            **CLIENTS[client],
+            # A thin client's first call comes later, and a window is whole only after a few cycles.
+            "settle": 0.0 if trouble == "start" else (20.0 if short else 30.0) if clients <= 10 * servers else 80.0,
+            "seconds": 12.0 if trouble == "start" else (24.0 if short else 30.0) if trouble == "kill" else 60.0,
+            "together": trouble == "start",
+        }
         for servers, clients, trouble, client, each in plans
-    ]  # fmt: skip
+    ]
     order = sorted(range(len(specs)), key=lambda n: -specs[n]["clients"])  # the longest first
     done = trials("lapishaven.lab.clientsim", [specs[n] for n in order], 7)
     found = {plans[n]: figures for n, figures in zip(order, done, strict=True)}
@@ -211,6 +251,7 @@
     for servers, clients, seeds, kinds in sizes:
         for trouble in TROUBLES:
             for client in kinds:
+
                 def of(trouble: str, client: str) -> list[dict[str, Any]]:
                     return [found[servers, clients, trouble, client, seed + n] for n in range(seeds)]  # noqa: B023
 
@@ -223,10 +264,18 @@
     given = arguments(__doc__ or "")
     servers, plans = (10, scripts(True)) if given.short else (14, scripts(False))
     specs = [
-        {"client": kind, "servers": servers, "callers": 4, "seconds": seconds, "script": script, "load": load,
-         "seed": given.seed}
-        for name, (seconds, script, load) in plans.items() for kind in (KINDS if name != "calm" else KINDS[:1])
-    ]  # fmt: skip
+        {
+            "client": kind,
+            "servers": servers,
+            "callers": 4,
+            "seconds": seconds,
+            "script": script,
+            "load": load,
+            "seed": given.seed,
+        }
+        for name, (seconds, script, load) in plans.items()
+        for kind in (KINDS if name != "calm" else KINDS[:1])
+    ]
     names = [(name, kind) for name in plans for kind in (KINDS if name != "calm" else KINDS[:1])]
     found = dict(zip(names, trials("lapishaven.lab.trial", specs, 7 if given.short else 3), strict=True))
     simulated = large(given.seed, given.short)
@@ -260,8 +309,17 @@
     for row in simulated:
         missed += row.missed()
 
-    keys = ("worth", "commit_worth", "storm", "storm_connects", "tries_per_call", "late_tries", "unmarked",
-            "commits_twice", "p99_ms")  # fmt: skip
+    keys = (
+        "worth",
+        "commit_worth",
+        "storm",
+        "storm_connects",
+        "tries_per_call",
+        "late_tries",
+        "unmarked",
+        "commits_twice",
+        "p99_ms",
+    )
     rows = [[name, kind, f["rate"], *(f[key] for key in keys)] for (name, kind), f in found.items()]
     text = table(["day", "client", "calls/s", *keys], rows)
     sim_text = table(SIM_HEAD, [row.cells() for row in simulated])
@@ -269,18 +327,20 @@
     if not given.short:
         head = f"Seed {given.seed}, {servers} servers, 4 clients, on {os.cpu_count()} cores."
         write_into(
-            "docs/operators/client.md", "figures",
+            "docs/operators/client.md",
+            "figures",
             f"{head}\n\n{text}\n\nIn simulated time, the policy alone:\n\n{sim_text}\n\nCost: {json.dumps(costs)}",
         )
     finish(
         {
-            "seed": given.seed, "deploy_kept": round(kept, 4),
+            "seed": given.seed,
+            "deploy_kept": round(kept, 4),
             "real": {f"{name}/{kind}": {key: f[key] for key in keys} for (name, kind), f in found.items()},
             "simulated": [dict(zip(SIM_HEAD, row.cells(), strict=True)) for row in simulated],
             "cost": costs,
         },
         missed,
-    )  # fmt: skip
+    )
 
 
 if __name__ == "__main__":
--- a/benchmarks/common.py
+++ b/benchmarks/common.py
@@ -27,8 +27,12 @@
 
     def one(spec: dict[str, Any]) -> dict[str, Any]:
         done = subprocess.run(
-            [sys.executable, "-m", module, json.dumps(spec)], capture_output=True, text=True, cwd=ROOT, check=False,
-        )  # fmt: skip
+            [sys.executable, "-m", module, json.dumps(spec)],
+            capture_output=True,
+            text=True,
+            cwd=ROOT,
+            check=False,
+        )
         if done.returncode:
             raise RuntimeError(f"{module} {json.dumps(spec)} ended with {done.returncode}: {done.stderr[-2000:]}")
         found: dict[str, Any] = json.loads(done.stdout.splitlines()[-1])
--- a/benchmarks/handover.py
+++ b/benchmarks/handover.py
@@ -18,8 +18,19 @@
 from benchmarks.common import trials as side_by_side
 
 MODULE = "lapishaven.lab.handover.trial"
-COLUMNS = ("sent", "served", "refused_answers", "refused", "reset", "cut", "unanswered", "late_runs", "left_s",
-           "control_p99_ms", "control_over_1s")  # fmt: skip
+COLUMNS = (
+    "sent",
+    "served",
+    "refused_answers",
+    "refused",
+    "reset",
+    "cut",
+    "unanswered",
+    "late_runs",
+    "left_s",
+    "control_p99_ms",
+    "control_over_1s",
+)
 
 
 def specs(seed: int, short: bool) -> list[dict[str, Any]]:
@@ -30,17 +41,29 @@
         for rate in loads:
             for mode in ("upgrade", "restart"):
                 out.append({"mode": mode, "seed": n, "rate": rate, "seconds": 6.0, "at": 1.5})
-        out.append({"mode": "burst", "seed": n, "rate": 20.0, "seconds": 5.0, "at": 1.0, "burst": 150.0,
-                    "stop_ms": 5000})  # fmt: skip
+        out.append(
+            {"mode": "burst", "seed": n, "rate": 20.0, "seconds": 5.0, "at": 1.0, "burst": 150.0, "stop_ms": 5000}
+        )
     return out
 
 
 def missed_by(found: dict[str, Any]) -> list[str]:
     spec = found["spec"]
     name = f"{spec['mode']} seed {spec['seed']} at {spec['rate']:g}/s"
-    missed = [f"{name}: {found[key]} {key}" for key in (
-        "broken", "late", "doubled", "late_runs", "refused_after_run", "twice", "crashes", "control_over_1s"
-    ) if found[key]]  # fmt: skip
+    missed = [
+        f"{name}: {found[key]} {key}"
+        for key in (
+            "broken",
+            "late",
+            "doubled",
+            "late_runs",
+            "refused_after_run",
+            "twice",
+            "crashes",
+            "control_over_1s",
+        )
+        if found[key]
+    ]
     if found["killed"]:
         missed.append(f"{name}: the leaving process was killed")
     for key in ("fulfilled", "throttled", "faulted"):
@@ -65,8 +88,12 @@
     if not args.short:
         rows = [[f["spec"]["mode"], f["spec"]["seed"], f["spec"]["rate"], *(f[c] for c in COLUMNS)] for f in found]
         write_into("docs/operators/handover.md", "handover", table(["trial", "seed", "rate", *COLUMNS], rows))
-    figures = {"seed": args.seed, "ours": total(by_mode["upgrade"]), "baseline": total(by_mode["restart"]),
-               "burst": total(by_mode["burst"])}  # fmt: skip
+    figures = {
+        "seed": args.seed,
+        "ours": total(by_mode["upgrade"]),
+        "baseline": total(by_mode["restart"]),
+        "burst": total(by_mode["burst"]),
+    }
     finish(figures, missed)
 
 
--- a/benchmarks/ownership.py
+++ b/benchmarks/ownership.py
@@ -65,10 +65,17 @@
     fleet.leave("m0")
     fleet.run(60.0)
     leave = fleet.moves(before) / max(1, had)
-    return {"members": members, "shards": count, "most_over_mean": round(most / mean, 3),
-            "even": most <= max(1.25 * mean, -(-count // members)), "join_over_least": round(join, 3),
-            "leave_over_least": round(leave, 3), "calls_s": round(calls, 1),
-            "owned": sum(map(len, fleet.owners().values())), "took_s": round(time.monotonic() - began, 1)}  # fmt: skip
+    return {
+        "members": members,
+        "shards": count,
+        "most_over_mean": round(most / mean, 3),
+        "even": most <= max(1.25 * mean, -(-count // members)),
+        "join_over_least": round(join, 3),
+        "leave_over_least": round(leave, 3),
+        "calls_s": round(calls, 1),
+        "owned": sum(map(len, fleet.owners().values())),
+        "took_s": round(time.monotonic() - began, 1),
+    }
 
 
 def deaths(seed: int, kills: int) -> list[float]:
@@ -135,8 +142,17 @@
             flush, rounds = now + 0.5, rounds + 1
             for k, purse in enumerate(purses):
                 need = purse.need(now)
-                book.note(partial(budgets.tell, contract="c", member=f"m{k}", need=need, seen=rounds,
-                                  adopted=purse.round, spill=purse.spill))  # fmt: skip
+                book.note(
+                    partial(
+                        budgets.tell,
+                        contract="c",
+                        member=f"m{k}",
+                        need=need,
+                        seen=rounds,
+                        adopted=purse.round,
+                        spill=purse.spill,
+                    )
+                )
             grants = {row[0]: float(row[1]) for row in book.read("select member, rate from budget_grant")}
             newest = int(book.read("select coalesce(max(round), 0) from budget_round")[0][0])
             for k, purse in enumerate(purses):
@@ -175,8 +191,7 @@
     most_leave = leaves[-1] if leaves else float("inf")
     if most_leave > 0.2:
         missed.append(f"{most_leave} s without an owner after a hand-over")
-    fleets = [shards(m, s, args.seed) for m, s in
-              ([(3, 64), (30, 256)] if args.short else LONG)]
+    fleets = [shards(m, s, args.seed) for m, s in ([(3, 64), (30, 256)] if args.short else LONG)]
     for each in fleets:
         moved = max(each["join_over_least"], each["leave_over_least"])
         if each["owned"] != each["shards"] or not each["even"] or moved > 1.1:
@@ -196,21 +211,33 @@
         if each["most"] > 1.0 + FALLBACK + budgets.OVER + BURST / 5 or each["used"] < 0.97:
             missed.append(f"budgets: {each}")
     figures = {
-        "seed": args.seed, "faults": sum(f["faults"] for f in ours), "processes": 8 * len(ours),
-        "effects": sum(f["effects"] for f in ours), "interleaved": sum(f["interleaved"] for f in ours),
-        "stale_refused": sum(f["stale_refused"] for f in ours), "unfenced_interleaved":
-        sum(f["interleaved"] for f in unfenced), "alone_interleaved": sum(f["interleaved"] for f in alone),
-        "after_kill_p99_s": p99, "after_kill_n": len(spans), "after_hand_over_most_s": most_leave,
-        "simulated_after_kill_p99_s": round(dead99, 2), "false_losses": losses, "fleets": fleets, "budgets": dealt,
-        "budgets_shifting": shifting, "budgets_fixed_parts": fixed,
+        "seed": args.seed,
+        "faults": sum(f["faults"] for f in ours),
+        "processes": 8 * len(ours),
+        "effects": sum(f["effects"] for f in ours),
+        "interleaved": sum(f["interleaved"] for f in ours),
+        "stale_refused": sum(f["stale_refused"] for f in ours),
+        "unfenced_interleaved": sum(f["interleaved"] for f in unfenced),
+        "alone_interleaved": sum(f["interleaved"] for f in alone),
+        "after_kill_p99_s": p99,
+        "after_kill_n": len(spans),
+        "after_hand_over_most_s": most_leave,
+        "simulated_after_kill_p99_s": round(dead99, 2),
+        "false_losses": losses,
+        "fleets": fleets,
+        "budgets": dealt,
+        "budgets_shifting": shifting,
+        "budgets_fixed_parts": fixed,
     }
     if not args.short:
         head = ("mode", "coordinator", "seed", "faults", "effects", "interleaved", "stale_refused")
         text = table(head, [[f[key] for key in head] for f in found])
         names = list(fleets[0])
         text += "\n\n" + table(names, [[each[name] for name in names] for each in fleets])
-        rows = [[a["members"], a["used"], a["most"], c["used"], c["most"], b["used"], b["most"]]
-                for a, b, c in zip(dealt, fixed, shifting, strict=True)]  # fmt: skip
+        rows = [
+            [a["members"], a["used"], a["most"], c["used"], c["most"], b["used"], b["most"]]
+            for a, b, c in zip(dealt, fixed, shifting, strict=True)
+        ]
         head = ("members", "used", "most in 5 s", "needs shift every 20 s: used", "most", "fixed parts: used", "most")
         text += "\n\n" + table(head, rows)
         text += (
--- a/benchmarks/ownership_long.py
+++ b/benchmarks/ownership_long.py
@@ -15,9 +15,23 @@
 BACK = 4.0  # s after the coordinator's return: a lease of 0.9 or 1 s, the spread of joins, and a newcomer's settling
 SHORT = {"held": 4.0, "away": 4.0, "half": 1.0, "flap": 5.0}
 LONG = {"held": 20.0, "away": 150.0, "half": 10.0, "flap": 60.0}
-KEYS = ("case", "coordinator", "span", "fenced", "effects", "older_accepted", "stale_refused", "without_owner_s",
-        "acts_while_away", "joins_spread_s", "all_at_work_s", "starts", "gained_by_it", "lost_by_others",
-        "real_s")  # fmt: skip
+KEYS = (
+    "case",
+    "coordinator",
+    "span",
+    "fenced",
+    "effects",
+    "older_accepted",
+    "stale_refused",
+    "without_owner_s",
+    "acts_while_away",
+    "joins_spread_s",
+    "all_at_work_s",
+    "starts",
+    "gained_by_it",
+    "lost_by_others",
+    "real_s",
+)
 
 
 def main() -> None:
@@ -26,8 +40,9 @@
     members = 12 if args.short else 40
     specs: list[dict[str, Any]] = [
         {"case": case, "coordinator": kind, "span": span, "seed": args.seed, "members": members}
-        for case, span in spans.items() for kind in ("sqlite", "etcd")
-    ]  # fmt: skip
+        for case, span in spans.items()
+        for kind in ("sqlite", "etcd")
+    ]
     specs += [{"case": "held", "coordinator": "sqlite", "span": 4.0, "seed": args.seed, "fenced": False}]
     *found, baseline = trials(MODULE, specs, 9 if args.short else 5)
     missed = []
--- a/benchmarks/ownership_path.py
+++ b/benchmarks/ownership_path.py
@@ -57,8 +57,11 @@
     figures: dict[str, Any] = {"seed": args.seed}
     for on, name in ((True, "on"), (False, "off")):
         p50, p99 = np.percentile(spans[on], [50, 99])
-        figures |= {f"{name}_calls": len(spans[on]), f"{name}_p50_ms": round(p50 * 1000, 2),
-                    f"{name}_p99_ms": round(p99 * 1000, 2)}  # fmt: skip
+        figures |= {
+            f"{name}_calls": len(spans[on]),
+            f"{name}_p50_ms": round(p50 * 1000, 2),
+            f"{name}_p99_ms": round(p99 * 1000, 2),
+        }
     on99, off99 = figures["on_p99_ms"], figures["off_p99_ms"]
     figures["p99_on_over_off"] = round(on99 / off99, 3)
     over = on99 > 1.03 * off99 and on99 - off99 > APART * 1000
--- a/benchmarks/pools.py
+++ b/benchmarks/pools.py
@@ -48,8 +48,13 @@
         capacity = Capacity(box.cores, [0.3, 0.3])
         now, last, names = 0.0, 0, dict[str, int]()
 
-        def go(until: float, cores: Cores = cores, capacity: Capacity = capacity, rnd: random.Random = rnd,
-               names: dict[str, int] = names) -> float | None:  # fmt: skip
+        def go(
+            until: float,
+            cores: Cores = cores,
+            capacity: Capacity = capacity,
+            rnd: random.Random = rnd,
+            names: dict[str, int] = names,
+        ) -> float | None:
             nonlocal now, last
             before = capacity.alarms
             while now < until:
@@ -82,10 +87,13 @@
     found.sort()
     back.sort()
     return {
-        "notice_mean_s": round(sum(found) / 20, 2), "notice_worst_s": round(found[-1], 2),
-        "back_mean_s": round(sum(back) / 20, 2), "back_worst_s": round(back[-1], 2), "false_in_600_s": false,
+        "notice_mean_s": round(sum(found) / 20, 2),
+        "notice_worst_s": round(found[-1], 2),
+        "back_mean_s": round(sum(back) / 20, 2),
+        "back_worst_s": round(back[-1], 2),
+        "false_in_600_s": false,
         "undetected": undetected,
-    }  # fmt: skip
+    }
 
 
 def queue_cost(seed: int, held: int, pools: int) -> dict[str, float]:
@@ -129,16 +137,40 @@
 
 def decision_cost(seed: int, classes: int, pooled: bool) -> float:
     """Microseconds of the Controller for each request on a stream at its capacity, with so many classes."""
-    specs = tuple(
-        i.ClassSpec(f"c{n}", 1.5, 5.0, 1.0, i.Effect.SAFE, 0.2, None, False, 0.0) for n in range(classes)
-    )  # fmt: skip
+    specs = tuple(i.ClassSpec(f"c{n}", 1.5, 5.0, 1.0, i.Effect.SAFE, 0.2, None, False, 0.0) for n in range(classes))
     given = i.Settings(
-        classes=specs, tenants=(), cores=6, memory_kb=1e6, run_factor=16.0, key_kb=0.0, peers=1, callers=1,
-        cold=False, cold_span=10.0, cold_from=0.3, fall_multiple=6.0, fall_span=1.5, drain_grace=2.0,
-        answer_slack=0.1, over_share_worth=0.1, worth_by_work=False, advice_max=1.0, say=None, said_for=0.0,
-        halt="pause", fresh=0.0, fair_calls=None, call_window=5.0, linger=0.2, passes_deadline=False,
-        tells_gone=True, marks_retry=True, deep_checks=True, listed_by_health=True, idle=15.0,
-    )  # fmt: skip
+        classes=specs,
+        tenants=(),
+        cores=6,
+        memory_kb=1e6,
+        run_factor=16.0,
+        key_kb=0.0,
+        peers=1,
+        callers=1,
+        cold=False,
+        cold_span=10.0,
+        cold_from=0.3,
+        fall_multiple=6.0,
+        fall_span=1.5,
+        drain_grace=2.0,
+        answer_slack=0.1,
+        over_share_worth=0.1,
+        worth_by_work=False,
+        advice_max=1.0,
+        say=None,
+        said_for=0.0,
+        halt="pause",
+        fresh=0.0,
+        fair_calls=None,
+        call_window=5.0,
+        linger=0.2,
+        passes_deadline=False,
+        tells_gone=True,
+        marks_retry=True,
+        deep_checks=True,
+        listed_by_health=True,
+        idle=15.0,
+    )
     rows = [{"name": f"p{n}", "classes": [f"c{n}"], "share": 1.0 / classes - 1e-9} for n in range(classes)]
     names = [spec.name for spec in specs]
     controller = Controller(given, seed, Pools(parse({"pool": rows}, names, 6), given) if pooled else None)
@@ -171,17 +203,18 @@
     specs = [
         {"servers": servers, "clients": 4, "seed": given.seed * 100 + n, "pools": kind, **plans[name]}
         for name, kind, n in keys
-    ]  # fmt: skip
+    ]
     found = dict(zip(keys, trials("lapishaven.lab.emulator", specs, 6), strict=True))
     speeds = notice(given.seed)
     holds = (10, 1000, 100_000)
     costs = {f"held {n}": queue_cost(given.seed, n, 3) for n in holds}
     decisions = {
         f"classes {n}": {
-            "pools_us": decision_cost(given.seed, n, True), "module_us": decision_cost(given.seed, n, False),
+            "pools_us": decision_cost(given.seed, n, True),
+            "module_us": decision_cost(given.seed, n, False),
         }
         for n in (3, 30, 300)
-    }  # fmt: skip
+    }
 
     missed: list[str] = []
     rows, figures = [], dict[str, Any]()
@@ -190,15 +223,17 @@
         for kind in KINDS:
             light = [row["classes"][LIGHT] for row in by[kind]]
             row = {
-                "worth": mean(by[kind], "worth"), "commit_worth": mean(by[kind], "commit_worth"),
+                "worth": mean(by[kind], "worth"),
+                "commit_worth": mean(by[kind], "commit_worth"),
                 "commit_worst": min(r["commit_worth"] for r in by[kind]),
                 "light_served": min(each["served"] for each in light),
                 "light_waited_s": max(each["waited_s"] for each in light),
                 "light_longest_s": max(each["longest_s"] for each in light),
-                "crowd": max(r["worst_crowd"] for r in by[kind]), "memory": max(r["worst_memory"] for r in by[kind]),
+                "crowd": max(r["worst_crowd"] for r in by[kind]),
+                "memory": max(r["worst_memory"] for r in by[kind]),
                 "falls": sum(r["falls"] for r in by[kind]),
                 "broken": sum(r["commits_twice"] + r["late_answers"] + r["late_tries"] for r in by[kind]),
-            }  # fmt: skip
+            }
             figures[f"{name}/{kind}"] = row
             rows.append([name, kind, *row.values()])
         ours, alone = figures[f"{name}/on"], figures[f"{name}/off"]
@@ -225,15 +260,26 @@
             {**plan, "load": load, "script": script, "pools": pooled}
             for load, script in ((0.5, "5 slow n2 x0.1 for 30"), (0.7, "5 surge x1.5 for 10"))
             for pooled in (True, False)
-        ]  # fmt: skip
+        ]
         real = trials("lapishaven.lab.trial", real_specs, 2)
         for row in real:
             if row["commits_twice"] or row["no_result"] or row["crashes"]:
                 missed.append(f"sockets: {row['commits_twice']} twice, {row['no_result']} open, {row['crashes']}")
 
-    head = ["day", "pools", "worth", "commits", "commits worst", "light served", "light waited s", "light longest s",
-            "crowd", "memory",
-            "falls", "broken"]  # fmt: skip
+    head = [
+        "day",
+        "pools",
+        "worth",
+        "commits",
+        "commits worst",
+        "light served",
+        "light waited s",
+        "light longest s",
+        "crowd",
+        "memory",
+        "falls",
+        "broken",
+    ]
     text = table(head, rows)
     cost_text = table(["held", "queue us", "sorted us"], [[n, *costs[f"held {n}"].values()] for n in holds])
     decision_text = table(["", "with pools us", "module us"], [[k, *v.values()] for k, v in decisions.items()])
@@ -242,16 +288,22 @@
         sockets = table(
             ["sockets", "pools", "worth", "commits", "p99 ms"],
             [[r["spec"]["script"], r["spec"]["pools"], r["worth"], r["commit_worth"], r["p99_ms"]] for r in real],
-        )  # fmt: skip
+        )
         first = given.seed * 100
         about = f"Seeds {first} to {first + seeds - 1}, {servers} servers, on {os.cpu_count()} cores."
         parts = [about, text, sockets, cost_text, decision_text, f"`{speeds}`"]
         write_into("docs/operators/pools.md", "figures", "\n\n".join(parts))
     finish(
-        {"seed": given.seed, "days": figures, "notice": speeds, "queue": costs, "decision": decisions,
-         "sockets": [{k: r[k] for k in ("worth", "commit_worth", "p99_ms")} for r in real]},
+        {
+            "seed": given.seed,
+            "days": figures,
+            "notice": speeds,
+            "queue": costs,
+            "decision": decisions,
+            "sockets": [{k: r[k] for k in ("worth", "commit_worth", "p99_ms")} for r in real],
+        },
         missed,
-    )  # fmt: skip
+    )
 
 
 if __name__ == "__main__":
--- a/benchmarks/record.py
+++ b/benchmarks/record.py
@@ -51,8 +51,10 @@
     random = Random(seed)
     folder = Path(tempfile.mkdtemp(prefix="lapishaven-record-"))
     words = _settings(folder) if mode == "record" else str(folder / "record.db")
-    with Field() as field, Tier(field, 0, [1.0] * servers, seed=seed, slots=16, scale=0.05,
-                                words=["--record", words]) as tier:  # fmt: skip
+    with (
+        Field() as field,
+        Tier(field, 0, [1.0] * servers, seed=seed, slots=16, scale=0.05, words=["--record", words]) as tier,
+    ):
         acked: set[str] = set()
         spans: list[float] = []
         statuses: Counter[int] = Counter()
@@ -104,20 +106,31 @@
             there, doubled, doubts = set(found), sum(count > 1 for count in found.values()), 0
     differences = audit(words) if mode == "record" else None
     return {
-        "mode": mode, "servers": servers, "commits": commits, "kills": kills, "acknowledged": len(acked),
-        "not_recorded": len(acked - there), "charged_twice": doubled, "ran_twice": twice, "in_doubt": doubts,
-        "audit": differences, "rate": round(commits / took, 1),
+        "mode": mode,
+        "servers": servers,
+        "commits": commits,
+        "kills": kills,
+        "acknowledged": len(acked),
+        "not_recorded": len(acked - there),
+        "charged_twice": doubled,
+        "ran_twice": twice,
+        "in_doubt": doubts,
+        "audit": differences,
+        "rate": round(commits / took, 1),
         "p50_ms": round(float(np.percentile(spans, 50)) * 1000, 1),
-        "p99_ms": round(float(np.percentile(spans, 99)) * 1000, 1), "statuses": dict(sorted(statuses.items())),
-    }  # fmt: skip
+        "p99_ms": round(float(np.percentile(spans, 99)) * 1000, 1),
+        "statuses": dict(sorted(statuses.items())),
+    }
 
 
 def stall(span: float, seconds: float, seed: int) -> dict[str, Any]:
     """The file is locked for ``span`` s (0: never) at a third of ``seconds``, under safe requests and commits."""
     random = Random(seed)
     folder = Path(tempfile.mkdtemp(prefix="lapishaven-record-"))
-    with Field() as field, Tier(field, 0, [1.0] * 2, seed=seed, slots=4, scale=0.2,
-                                words=["--record", _settings(folder)]) as tier:  # fmt: skip
+    with (
+        Field() as field,
+        Tier(field, 0, [1.0] * 2, seed=seed, slots=4, scale=0.2, words=["--record", _settings(folder)]) as tier,
+    ):
 
         async def work() -> tuple[list[Call], list[Call], float]:
             loop = asyncio.get_running_loop()
@@ -149,12 +162,16 @@
         twice = tier.report()["twice"]
     back = min((c.at + c.span for c in commits if ends and c.status == 200 and c.at > ends[0]), default=0.0)
     return {
-        "stall_s": span, "safe": len(safe), "safe_on_time": round(
-            sum(c.status == 200 and c.span <= SAFE_AIM for c in safe) / len(safe), 4),
-        "commits": len(commits), "commits_served": sum(c.status == 200 for c in commits),
-        "most_s": round(max(c.span for c in commits), 2), "back_after_s": round(back - ends[0], 2) if ends else 0.0,
-        "ran_twice": twice, "audit": audit(str(folder / "record.toml")),
-    }  # fmt: skip
+        "stall_s": span,
+        "safe": len(safe),
+        "safe_on_time": round(sum(c.status == 200 and c.span <= SAFE_AIM for c in safe) / len(safe), 4),
+        "commits": len(commits),
+        "commits_served": sum(c.status == 200 for c in commits),
+        "most_s": round(max(c.span for c in commits), 2),
+        "back_after_s": round(back - ends[0], 2) if ends else 0.0,
+        "ran_twice": twice,
+        "audit": audit(str(folder / "record.toml")),
+    }
 
 
 def _come(event: threading.Event, told: Told | None) -> None:
@@ -187,8 +204,11 @@
         thread.join()
     writer.close(5.0)
     module.GROUP = old
-    return {"group": most, "durable_per_s": round(len(spans) / seconds),
-            "p99_ms": round(float(np.percentile(spans, 99)) * 1000, 2)}  # fmt: skip
+    return {
+        "group": most,
+        "durable_per_s": round(len(spans) / seconds),
+        "p99_ms": round(float(np.percentile(spans, 99)) * 1000, 2),
+    }
 
 
 def one(spec: dict[str, Any]) -> dict[str, Any]:
@@ -204,12 +224,14 @@
     specs: list[dict[str, Any]] = [
         {"kind": "killed", "mode": mode, "servers": servers, "commits": commits, "rate": rate, "seed": args.seed}
         for mode in ("record", "behind")
-    ] + [{"kind": "stall", "span": each, "seconds": seconds, "seed": args.seed} for each in (span, 0.0)]  # fmt: skip
+    ] + [{"kind": "stall", "span": each, "seconds": seconds, "seed": args.seed} for each in (span, 0.0)]
     ours, behind, stalled, calm = trials(MODULE, specs, 4)
-    grouped, single = trials(MODULE, [{"kind": "groups", "most": most, "seconds": 2.0 if args.short else 10.0}
-                                      for most in (256, 1)], 1)  # fmt: skip
-    missed = [f"record: {key} is {ours[key]}" for key in ("not_recorded", "charged_twice", "ran_twice", "audit")
-              if ours[key]]  # fmt: skip
+    grouped, single = trials(
+        MODULE, [{"kind": "groups", "most": most, "seconds": 2.0 if args.short else 10.0} for most in (256, 1)], 1
+    )
+    missed = [
+        f"record: {key} is {ours[key]}" for key in ("not_recorded", "charged_twice", "ran_twice", "audit") if ours[key]
+    ]
     if not behind["not_recorded"] and not behind["ran_twice"]:
         missed.append("the store behind the reply shows no harm: the kills are too few")
     if stalled["safe_on_time"] < calm["safe_on_time"] - 0.02:
@@ -225,8 +247,18 @@
     print(text)
     if not args.short:
         write_into("docs/operators/record.md", "record", f"Seed {args.seed}.\n\n{text}")
-    finish({"seed": args.seed, "killed": ours, "behind": behind, "stall": stalled, "calm": calm, "groups": grouped,
-            "one_by_one": single}, missed)  # fmt: skip
+    finish(
+        {
+            "seed": args.seed,
+            "killed": ours,
+            "behind": behind,
+            "stall": stalled,
+            "calm": calm,
+            "groups": grouped,
+            "one_by_one": single,
+        },
+        missed,
+    )
 
 
 if __name__ == "__main__":
--- a/benchmarks/spread.py
+++ b/benchmarks/spread.py
@@ -38,10 +38,30 @@
 # Clients of the library before real servers, some stopped: as measured at the issue's size, and a small one.
 MUTE: dict[str, Any] = {"servers": 24, "clients": 200, "rate": 100.0, "stopped": 5}
 SHORT_MUTE: dict[str, Any] = {
-    "servers": 6, "clients": 24, "rate": 40.0, "stopped": 2, "settle": 3.0, "span": 3.0, "after": 0.5
-}  # fmt: skip
-MUTE_KEYS = ("servers", "clients", "rate", "asks", "calls", "late", "late_before", "to_silent_after_1_s", "uncertain",
-             "commits_twice", "ran_given_up", "share_back", "herd", "asks_a_call")  # fmt: skip
+    "servers": 6,
+    "clients": 24,
+    "rate": 40.0,
+    "stopped": 2,
+    "settle": 3.0,
+    "span": 3.0,
+    "after": 0.5,
+}
+MUTE_KEYS = (
+    "servers",
+    "clients",
+    "rate",
+    "asks",
+    "calls",
+    "late",
+    "late_before",
+    "to_silent_after_1_s",
+    "uncertain",
+    "commits_twice",
+    "ran_given_up",
+    "share_back",
+    "herd",
+    "asks_a_call",
+)
 BLIND = "[probes]\na_choice = 0\nkept = 0\n"
 
 
@@ -208,7 +228,7 @@
 # ---- On sockets
 def real(
     fronts: int, processes: int, seed: int, load: float, seconds: float, policy: str, fault: str, slots: int = 4
-) -> dict[str, Any]:  # fmt: skip
+) -> dict[str, Any]:
     """One trial on ``fronts + processes`` real processes of the program. So that the machine's cores carry the calls,
     work takes ``scale`` times as long where there are many; the times told are over it."""
     random = Random(seed)
@@ -251,13 +271,22 @@
             if total >= 2 * processes:
                 tops.append(max(n / speeds[k] for k, n in of.items()) / (total / sum(speeds)))
         return {
-            "fronts": fronts, "processes": processes, "policy": "ours" if not policy else "no questions", "load": load,
-            "fault": fault, "slots": slots, **found, "rate": round(len(calls) / span, 1), "scale": round(scale, 2),
-            "p50": round(found["p50"] / scale, 4), "p99": round(found["p99"] / scale, 4),
-            "idle": round(report["idle"] / (span * processes), 5), "twice": report["twice"],
+            "fronts": fronts,
+            "processes": processes,
+            "policy": "ours" if not policy else "no questions",
+            "load": load,
+            "fault": fault,
+            "slots": slots,
+            **found,
+            "rate": round(len(calls) / span, 1),
+            "scale": round(scale, 2),
+            "p50": round(found["p50"] / scale, 4),
+            "p99": round(found["p99"] / scale, 4),
+            "idle": round(report["idle"] / (span * processes), 5),
+            "twice": report["twice"],
             "busiest": round(sum(tops) / len(tops), 3) if tops else None,
             "caller_cpu_s": round(spent.user - used.user, 1),
-        }  # fmt: skip
+        }
 
 
 def one(spec: dict[str, Any]) -> dict[str, Any]:
@@ -267,8 +296,13 @@
         began = time.perf_counter()
         more = {key: spec[key] for key in ("slots", "seconds") if key in spec}
         found = play(spec["case"], spec["policy"], spec["fronts"], spec["processes"], spec["seed"], **more)
-        return {**found, "slots": spec.get("slots", 4), "fronts": spec["fronts"], "processes": spec["processes"],
-                "real_s": round(time.perf_counter() - began, 1)}  # fmt: skip
+        return {
+            **found,
+            "slots": spec.get("slots", 4),
+            "fronts": spec["fronts"],
+            "processes": spec["processes"],
+            "real_s": round(time.perf_counter() - began, 1),
+        }
     if kind == "joined":
         return {"peak": joined(**spec)}
     return real(**spec)
@@ -281,22 +315,49 @@
     choosers = ("ours", TODAY, "oracle")
     specs: list[dict[str, Any]] = [
         {"kind": "case", "case": case, "policy": policy, "fronts": fronts, "processes": processes, "seed": args.seed}
-        for case in cases for policy in ((*PLAIN, "ours", "oracle") if case in LOADS else choosers)
-    ]  # fmt: skip
-    joiners = {"kind": "joined", "fronts": fronts, "processes": processes, "seed": args.seed,
-               "runs": 6 if args.short else 40}  # fmt: skip
+        for case in cases
+        for policy in ((*PLAIN, "ours", "oracle") if case in LOADS else choosers)
+    ]
+    joiners = {
+        "kind": "joined",
+        "fronts": fronts,
+        "processes": processes,
+        "seed": args.seed,
+        "runs": 6 if args.short else 40,
+    }
     # Under 2 s past the start only the quick calls of the largest would have ended, so it takes 11 minutes.
     twins: list[dict[str, Any]] = []  # what the tiers of real processes are held against
     vast: list[dict[str, Any]] = []
     if not args.short:
         specs += [
             {"kind": "case", "case": NINE, "policy": policy, "fronts": f, "processes": p, "seed": args.seed}
-            for f, p in ((5, 10), (100, 300), (300, 1000)) for policy in ("ours", TODAY, "oracle")
-        ]  # fmt: skip
-        twins = [{"kind": "case", "case": NINE, "policy": "ours", "fronts": f, "processes": p, "seed": args.seed,
-                  "slots": slots} for f, p, slots in TIERS]  # fmt: skip
-        vast = [{"kind": "case", "case": NINE, "policy": policy, "fronts": 1000, "processes": 10_000,
-                 "seed": args.seed, "seconds": 5.0} for policy in ("ours", TODAY)]  # fmt: skip
+            for f, p in ((5, 10), (100, 300), (300, 1000))
+            for policy in ("ours", TODAY, "oracle")
+        ]
+        twins = [
+            {
+                "kind": "case",
+                "case": NINE,
+                "policy": "ours",
+                "fronts": f,
+                "processes": p,
+                "seed": args.seed,
+                "slots": slots,
+            }
+            for f, p, slots in TIERS
+        ]
+        vast = [
+            {
+                "kind": "case",
+                "case": NINE,
+                "policy": policy,
+                "fronts": 1000,
+                "processes": 10_000,
+                "seed": args.seed,
+                "seconds": 5.0,
+            }
+            for policy in ("ours", TODAY)
+        ]
     done = iter(trials(MODULE, [*vast, joiners, *twins, *specs], 8))  # the longest first
     largest = [next(done) for _ in vast]
     peak = next(done)
@@ -305,10 +366,13 @@
     sockets: list[dict[str, Any]] = [
         {"fronts": 20, "processes": 40, "load": 0.9, "seconds": 5.0, "policy": "", "fault": ""},
         {"fronts": 20, "processes": 40, "load": 0.9, "seconds": 5.0, "policy": BLIND, "fault": ""},
-    ]  # fmt: skip
+    ]
     if not args.short:
-        sockets += [{"fronts": f, "processes": p, "load": 0.9, "seconds": 15.0, "policy": policy, "fault": "",
-                     "slots": slots} for f, p, slots in TIERS for policy in ("", BLIND)]  # fmt: skip
+        sockets += [
+            {"fronts": f, "processes": p, "load": 0.9, "seconds": 15.0, "policy": policy, "fault": "", "slots": slots}
+            for f, p, slots in TIERS
+            for policy in ("", BLIND)
+        ]
         sockets += [{"fronts": 20, "processes": 40, "load": 0.5, "seconds": 12.0, "policy": "", "fault": "stop"}]
     if args.short:
         both = [{**SHORT_MUTE, "seed": args.seed, "asks": asks} for asks in (True, False)]
@@ -316,18 +380,24 @@
     else:
         mutes = [
             trials("lapishaven.lab.field.mute", [{**MUTE, "rate": rate, "seed": args.seed, "asks": asks}], 1)[0]
-            for rate in (60.0, 100.0, 160.0) for asks in (True, False)
-        ]  # fmt: skip
+            for rate in (60.0, 100.0, 160.0)
+            for asks in (True, False)
+        ]
     on_sockets = [trials(MODULE, [{"kind": "real", "seed": args.seed, **each}], 1)[0] for each in sockets]
     drawn = [costs(size, args.seed) for size in ((10, 1000) if args.short else (10, 100, 1000, 10_000))]
     report(args, found, peak["peak"], on_sockets, drawn, mutes, alike, largest)
 
 
 def report(
-    args: Any, found: list[dict[str, Any]], peak: float, on_sockets: list[dict[str, Any]],
-    drawn: list[dict[str, float]], mutes: list[dict[str, Any]], alike: list[dict[str, Any]],
+    args: Any,
+    found: list[dict[str, Any]],
+    peak: float,
+    on_sockets: list[dict[str, Any]],
+    drawn: list[dict[str, float]],
+    mutes: list[dict[str, Any]],
+    alike: list[dict[str, Any]],
     largest: list[dict[str, Any]],
-) -> None:  # fmt: skip
+) -> None:
     """Hold the figures against the bars, and print or write them."""
     missed = []
     by: dict[tuple[str, int], dict[str, dict[str, Any]]] = {}
@@ -368,27 +438,64 @@
         missed.append(f"it grows with size: {largest[0]}")
     for row in mutes:
         if row["asks"] and (
-            row["late"] > 0.03 or row["to_silent_after_1_s"] or row["ran_given_up"] or row["commits_twice"]
-            or not args.short and row["share_back"] < 0.8
-        ):  # fmt: skip
+            row["late"] > 0.03
+            or row["to_silent_after_1_s"]
+            or row["ran_given_up"]
+            or row["commits_twice"]
+            or not args.short
+            and row["share_back"] < 0.8
+        ):
             missed.append(f"clients before stopped servers: {row}")
     figures = {
-        "seed": args.seed, "word_bytes": SIZE, "joined_peak": peak, "cold_s": COLD_SPAN, "sockets": on_sockets,
-        "simulated_alike": alike, "largest": largest,
+        "seed": args.seed,
+        "word_bytes": SIZE,
+        "joined_peak": peak,
+        "cold_s": COLD_SPAN,
+        "sockets": on_sockets,
+        "simulated_alike": alike,
+        "largest": largest,
         "stopped": [{key: row[key] for key in MUTE_KEYS} for row in mutes],
         "cost_us": drawn,
-        "cases": [{k: row[k] for k in ("case", "processes", "policy", "p99", "on_time", "busiest", "idle", "probes",
-                                       "tries")} for row in found],
-    }  # fmt: skip
+        "cases": [
+            {k: row[k] for k in ("case", "processes", "policy", "p99", "on_time", "busiest", "idle", "probes", "tries")}
+            for row in found
+        ],
+    }
     if not args.short:
         head = ["case", "processes", "chooser", "p50 s", "p99 s", "on time", "busiest", "idle", "questions", "tries"]
         keys = ("case", "processes", "policy", "p50", "p99", "on_time", "busiest", "idle", "probes", "tries")
         text = f"Seed {args.seed}, simulated; figures of each chooser on the same arrivals.\n\n"
         text += table(head, [[row[k] for k in keys] for row in found])
-        head = ["fronts", "processes", "slots", "chooser", "load", "fault", "calls/s", "p50 s", "p99 s", "on time",
-                "busiest", "idle", "statuses"]  # fmt: skip
-        columns = ["fronts", "processes", "slots", "policy", "load", "fault", "rate", "p50", "p99", "on_time",
-                   "busiest", "idle", "statuses"]  # fmt: skip
+        head = [
+            "fronts",
+            "processes",
+            "slots",
+            "chooser",
+            "load",
+            "fault",
+            "calls/s",
+            "p50 s",
+            "p99 s",
+            "on time",
+            "busiest",
+            "idle",
+            "statuses",
+        ]
+        columns = [
+            "fronts",
+            "processes",
+            "slots",
+            "policy",
+            "load",
+            "fault",
+            "rate",
+            "p50",
+            "p99",
+            "on_time",
+            "busiest",
+            "idle",
+            "statuses",
+        ]
         text += "\n\nOn sockets, real processes:\n\n"
         text += table(head, [[row[k] for k in columns] for row in on_sockets])
         text += "\n\nOurs in simulated time at the sizes of the tiers, and 1,000 fronts before 10,000 processes:\n\n"
--- a/benchmarks/spread_path.py
+++ b/benchmarks/spread_path.py
@@ -44,8 +44,11 @@
     figures: dict[str, Any] = {"seed": args.seed}
     for front, name in (("f0", "spread"), ("p0", "table")):
         p50, p99 = np.percentile(spans[front], [50, 99])
-        figures |= {f"{name}_calls": len(spans[front]), f"{name}_p50_ms": round(p50 * 1000, 2),
-                    f"{name}_p99_ms": round(p99 * 1000, 2)}  # fmt: skip
+        figures |= {
+            f"{name}_calls": len(spans[front]),
+            f"{name}_p50_ms": round(p50 * 1000, 2),
+            f"{name}_p99_ms": round(p99 * 1000, 2),
+        }
     ours, table = figures["spread_p99_ms"], figures["table_p99_ms"]
     figures["p99_over_table"] = round(ours / table, 3)
     over = ours > 1.03 * table and ours - table > APART * 1000
--- a/benchmarks/storage.py
+++ b/benchmarks/storage.py
@@ -47,8 +47,10 @@
         for n in range(count):
             child = subprocess.Popen(
                 [sys.executable, "-c", WRITER, folder, str(rnd.randrange(1 << 30)), str((n + 1) * 100_000)],
-                stdout=subprocess.PIPE, text=True, cwd=ROOT,
-            )  # fmt: skip
+                stdout=subprocess.PIPE,
+                text=True,
+                cwd=ROOT,
+            )
             assert child.stdout is not None
             lines = [child.stdout.readline() for _ in range(rnd.randrange(2, 200))]
             time.sleep(rnd.random() * 0.003)
@@ -126,9 +128,13 @@
         dict_bytes = tracemalloc.get_traced_memory()[0] / len(plain)
         tracemalloc.stop()
         return {
-            "keys": keys, "found": count, "open_s": round(hinted, 3), "replay_s": round(replayed, 3),
-            "index_bytes_a_key": round(per_key, 1), "dict_bytes_a_key": round(dict_bytes, 1),
-        }  # fmt: skip
+            "keys": keys,
+            "found": count,
+            "open_s": round(hinted, 3),
+            "replay_s": round(replayed, 3),
+            "index_bytes_a_key": round(per_key, 1),
+            "dict_bytes_a_key": round(dict_bytes, 1),
+        }
     finally:
         shutil.rmtree(folder)
 
@@ -221,7 +227,7 @@
         return {
             "calm_p99_us": round(calm[int(len(calm) * 0.99)] * 1e6, 1),
             "compacting_p99_us": round(busy[int(len(busy) * 0.99)] * 1e6, 1),
-        }  # fmt: skip
+        }
     finally:
         shutil.rmtree(folder)
 
@@ -280,10 +286,17 @@
         about = f"Seed {given.seed}, on {os.cpu_count()} cores."
         write_into("docs/operators/storage.md", "figures", f"{about}\n\n{text}\n\n{rest}")
     finish(
-        {"seed": given.seed, "kills": killed, "power": lost, "opening": opened, "writing": written, "reading": read,
-         "expiry": due},
+        {
+            "seed": given.seed,
+            "kills": killed,
+            "power": lost,
+            "opening": opened,
+            "writing": written,
+            "reading": read,
+            "expiry": due,
+        },
         missed,
-    )  # fmt: skip
+    )
 
 
 if __name__ == "__main__":
--- a/cometdrum/controller.py
+++ b/cometdrum/controller.py
@@ -46,8 +46,23 @@
 class _Request:
     """What the controller knows of one request."""
 
-    __slots__ = ("id", "spec", "cls", "kb", "due", "aim_at", "arrived", "place", "value", "state", "ran",
-                 "answered", "kept", "since", "guarded")  # fmt: skip
+    __slots__ = (
+        "id",
+        "spec",
+        "cls",
+        "kb",
+        "due",
+        "aim_at",
+        "arrived",
+        "place",
+        "value",
+        "state",
+        "ran",
+        "answered",
+        "kept",
+        "since",
+        "guarded",
+    )
 
     def __init__(self, a: i.Arrival, spec: i.ClassSpec, now: float) -> None:
         self.id, self.spec, self.cls, self.kb = a.id, spec, a.cls, a.kb
--- a/cometdrum/interface.py
+++ b/cometdrum/interface.py
@@ -304,7 +304,4 @@
     text: str
 
 
-Action = (
-    Run | Refuse | Fail | Halt | Call | Skip | Keep | Forget | Attach
-    | Health | Say | KeepIdle | Timer | Remark
-)  # fmt: skip
+Action = Run | Refuse | Fail | Halt | Call | Skip | Keep | Forget | Attach | Health | Say | KeepIdle | Timer | Remark
--- a/cometdrum/wire.py
+++ b/cometdrum/wire.py
@@ -158,18 +158,27 @@
         raise WireError(f"{where} result: {code} is no outcome") from None
 
 
-def decode_event(
-    code: int, body: memoryview, at: int, gauges: Callable[[], tuple[str, ...]]
-) -> i.Event | None:
+def decode_event(code: int, body: memoryview, at: int, gauges: Callable[[], tuple[str, ...]]) -> i.Event | None:
     """One event record as an interface event; ``None`` for a code that is unknown."""
     if code == 20:
         (xid, kb, tenant, due, caller, age, opts, cls, rank, subject, cost, repeats) = _ARRIVAL.unpack_from(
             body, at + 1
         )
         return i.Arrival(
-            xid, kb, tenant, due or None, caller, age, bool(opts & 2), bool(opts & 4), cls, rank,
-            subject or None, cost if opts & 1 else None, repeats or None,
-        )  # fmt: skip
+            xid,
+            kb,
+            tenant,
+            due or None,
+            caller,
+            age,
+            bool(opts & 2),
+            bool(opts & 4),
+            cls,
+            rank,
+            subject or None,
+            cost if opts & 1 else None,
+            repeats or None,
+        )
     if code == 30:
         xid, spent, result = _FINISHED.unpack_from(body, at + 1)
         return i.Finished(xid, spent, _outcome(result, "FINISHED"))
@@ -229,8 +238,13 @@
 _TEXT = Struct(">BII7x")
 _FOR = Struct(">BH13x")
 _IDS: dict[type, int] = {
-    i.Run: 10, i.Fail: 30, i.Halt: 40, i.Skip: 60, i.Forget: 80, i.Attach: 90,
-}  # fmt: skip
+    i.Run: 10,
+    i.Fail: 30,
+    i.Halt: 40,
+    i.Skip: 60,
+    i.Forget: 80,
+    i.Attach: 90,
+}
 
 
 class Reply:
--- a/lapishaven/backends/spread.py
+++ b/lapishaven/backends/spread.py
@@ -29,9 +29,11 @@
 TRIES = 4  # of one attempt, over all processes
 ROOM = 0.05  # s before an attempt's end at which no other try is begun
 ENDINGS = {
-    Outcome.OK: Ending.SERVED, Outcome.FULL: Ending.REFUSED, Outcome.UNREACHED: Ending.UNREACHED,
+    Outcome.OK: Ending.SERVED,
+    Outcome.FULL: Ending.REFUSED,
+    Outcome.UNREACHED: Ending.UNREACHED,
     Outcome.CANCELLED: Ending.LEFT,
-}  # fmt: skip
+}
 UNRUN = (Outcome.FULL, Outcome.UNREACHED)
 
 
@@ -51,9 +53,16 @@
     """A core backend. It cannot pause: to halt is to close the connection."""
 
     def __init__(
-        self, loop: Loop, settings: Settings, cores: int, spans: dict[str, float], listener: Listener,
-        counters: Counters, random: Random, dial: Dial = connect,
-    ) -> None:  # fmt: skip
+        self,
+        loop: Loop,
+        settings: Settings,
+        cores: int,
+        spans: dict[str, float],
+        listener: Listener,
+        counters: Counters,
+        random: Random,
+        dial: Dial = connect,
+    ) -> None:
         self.loop, self.settings, self.cores, self.spans = loop, settings, cores, spans
         self.listener, self.counters, self._dial = listener, counters, dial
         self.spread = Spread(settings.rules, random)
@@ -186,9 +195,10 @@
         if attempt.halted:
             conn.close(End.ABANDONED)
         variables = {
-            "REQUEST_METHOD": "POST", "PATH_INFO": self.settings.path + attempt.cls,
+            "REQUEST_METHOD": "POST",
+            "PATH_INFO": self.settings.path + attempt.cls,
             "HTTP_X_REQUEST_ID": attempt.handle,
-        }  # fmt: skip
+        }
         if turn > 1:
             variables["HTTP_X_RETRY"] = "1"
         conn.write(proto.packet(variables, attempt.body))
@@ -202,7 +212,7 @@
 
     def _over(
         self, attempt: Attempt, turn: int, outcome: Outcome, result: bytes, response: proto.Response | None
-    ) -> None:  # fmt: skip
+    ) -> None:
         if attempt.turn != turn or self._running.get(attempt.handle) is not attempt:
             return  # given up, and told so by whoever did
         now, name = self.loop.now, attempt.process
@@ -284,14 +294,16 @@
         """What is known of each process, why the last choices fell as they did, and the counts."""
         now = self.loop.now
         return {
-            "processes": self.spread.state(now), "counts": dict(self.spread.counts),
-            "usual_s": round(self.spread.usual, 4), "mean_in_hand": round(self.spread.mean, 3),
+            "processes": self.spread.state(now),
+            "counts": dict(self.spread.counts),
+            "usual_s": round(self.spread.usual, 4),
+            "mean_in_hand": round(self.spread.mean, 3),
             "panics": self.spread.silence.panics,
             "last": [
                 {"ago_s": round(now - when, 3), "chosen": name, "costs": {n: round(cost, 4) for n, cost in costs}}
                 for when, name, costs in self.spread.last
             ],
-        }  # fmt: skip
+        }
 
     def failed(self) -> None:
         """There is no link that could be left behind."""
@@ -319,5 +331,3 @@
         return parse(response.headers["x-load"])
     except (KeyError, NewsError):
         return None
-
-
--- a/lapishaven/backends/uwsgi.py
+++ b/lapishaven/backends/uwsgi.py
@@ -97,9 +97,9 @@
         self._running[handle] = conn
         if handle in self._halted:
             conn.close(End.ABANDONED)
-        conn.write(proto.packet(
-            {"REQUEST_METHOD": "POST", "PATH_INFO": self.path + cls, "HTTP_X_REQUEST_ID": handle}, body
-        ))  # fmt: skip
+        conn.write(
+            proto.packet({"REQUEST_METHOD": "POST", "PATH_INFO": self.path + cls, "HTTP_X_REQUEST_ID": handle}, body)
+        )
         outcome, result, _ = yield from read_response(self.loop, conn, began + self.spans[cls])
         self._end(handle, outcome, self.loop.now - began, result)
 
--- a/lapishaven/cli.py
+++ b/lapishaven/cli.py
@@ -112,9 +112,15 @@
 
 @app.command()
 def serve(
-    path: File = None, uwsgi: Uwsgi = None, contracts: Terms = None, record: Record = None, pools: PoolsFile = None,
-    kept: Kept = None, ownership: Owned = None, spread: SpreadFile = None,
-) -> None:  # fmt: skip
+    path: File = None,
+    uwsgi: Uwsgi = None,
+    contracts: Terms = None,
+    record: Record = None,
+    pools: PoolsFile = None,
+    kept: Kept = None,
+    ownership: Owned = None,
+    spread: SpreadFile = None,
+) -> None:
     """Serve until SIGTERM; SIGHUP reads the files again, SIGUSR1 prints the counters."""
     from lapishaven.counters import Counters
     from lapishaven.server import Server
@@ -141,10 +147,18 @@
     fleet = _part(ownership, loaded) if ownership is not None else None
     try:
         server = Server(
-            loaded.config, loaded.front, loaded.backend, contracts=loaded.contracts, store=store,
-            counters=counters, files=lambda: config.load_all(path, uwsgi, contracts, pools, spread),
-            pools=loaded.pools, keeper=keeper, fleet=fleet, spread=loaded.spread,
-        )  # fmt: skip
+            loaded.config,
+            loaded.front,
+            loaded.backend,
+            contracts=loaded.contracts,
+            store=store,
+            counters=counters,
+            files=lambda: config.load_all(path, uwsgi, contracts, pools, spread),
+            pools=loaded.pools,
+            keeper=keeper,
+            fleet=fleet,
+            spread=loaded.spread,
+        )
     except OSError as error:
         _fail(f"cannot listen: {error.strerror or error}")
     if fleet is not None:
@@ -154,9 +168,15 @@
 
 @app.command("check-config")
 def check_config(
-    path: File = None, uwsgi: Uwsgi = None, contracts: Terms = None, pools: PoolsFile = None, kept: Kept = None,
-    ownership: Owned = None, spread: SpreadFile = None, record: Record = None,
-) -> None:  # fmt: skip
+    path: File = None,
+    uwsgi: Uwsgi = None,
+    contracts: Terms = None,
+    pools: PoolsFile = None,
+    kept: Kept = None,
+    ownership: Owned = None,
+    spread: SpreadFile = None,
+    record: Record = None,
+) -> None:
     """Check the files and say what they hold."""
     loaded = _load(path, uwsgi, contracts, pools, spread)
     name, (host, port), specs = loaded.config.name, loaded.config.listen, loaded.config.settings.classes
@@ -168,8 +188,10 @@
     print(f"contracts {'off' if loaded.contracts is None else len(loaded.contracts)}")
     if loaded.spread is not None:
         rules_ = loaded.spread.rules
-        print(f"spread over {len(loaded.spread.addresses)} processes, {rules_.probes} questions a choice, "
-              f"silent after {rules_.silent:g} s, {loaded.spread.attempts} attempts at once")  # fmt: skip
+        print(
+            f"spread over {len(loaded.spread.addresses)} processes, {rules_.probes} questions a choice, "
+            f"silent after {rules_.silent:g} s, {loaded.spread.attempts} attempts at once"
+        )
     if kept is not None:
         try:
             rules = config.storage(kept)
@@ -371,9 +393,11 @@
 
 @ownership_app.command("claim")
 def ownership_claim(
-    duty: DutyName, shard: Number, file: OwnedFile = OWNERSHIP,
+    duty: DutyName,
+    shard: Number,
+    file: OwnedFile = OWNERSHIP,
     span: Annotated[float, typer.Option("--for", min=1, max=86_400, help="Seconds.")] = 60.0,
-) -> None:  # fmt: skip
+) -> None:
     """Hold a shard yourself, so that nobody works on it, until Ctrl-C or its time."""
     _ownership("claim", file, duty, shard, span)
 
@@ -382,8 +406,9 @@
 def ownership_history(
     duty: Annotated[str | None, typer.Argument(help="One duty; else all.")] = None,
     last: Annotated[int, typer.Option("--last", min=1, max=100_000, help="Effects.")] = 50,
-    file: OwnedFile = OWNERSHIP, as_json: Json = False,
-) -> None:  # fmt: skip
+    file: OwnedFile = OWNERSHIP,
+    as_json: Json = False,
+) -> None:
     """The last effects that took hold, with their tokens."""
     _ownership("history", file, duty, last, as_json)
 
@@ -450,8 +475,9 @@
 def record_bill(
     since: Annotated[float, typer.Option("--since", help="Unix seconds.")] = 0.0,
     until: Annotated[float, typer.Option("--until", help="Unix seconds.")] = 1e12,
-    file: RecordFile = RECORD, as_json: Json = False,
-) -> None:  # fmt: skip
+    file: RecordFile = RECORD,
+    as_json: Json = False,
+) -> None:
     """Words by customer, of effects that ended in a span."""
     _look("bill", file, since, until, as_json)
 
@@ -480,8 +506,9 @@
 @record_app.command("export")
 def record_export(
     rows: Annotated[Rows, typer.Argument(help="Which rows.")],
-    to: Annotated[str, typer.Argument(help="A CSV file that is not there yet.")], file: RecordFile = RECORD,
-) -> None:  # fmt: skip
+    to: Annotated[str, typer.Argument(help="A CSV file that is not there yet.")],
+    file: RecordFile = RECORD,
+) -> None:
     """Write effects or the ledger as CSV."""
     _look("export", file, rows.value, to)
 
--- a/lapishaven/client/__init__.py
+++ b/lapishaven/client/__init__.py
@@ -25,7 +25,24 @@
 from lapishaven.client.settings import ClassRule, Settings, SettingsError, load
 
 __all__ = [
-    "BlockingClient", "CallError", "Cancelled", "CancelledCallError", "ClassRule", "Client", "Expired",
-    "ExpiredError", "Failed", "FailedError", "Outcome", "Policy", "Refused", "RefusedError", "Served",
-    "Settings", "SettingsError", "Uncertain", "UncertainError", "load",
-]  # fmt: skip
+    "BlockingClient",
+    "CallError",
+    "Cancelled",
+    "CancelledCallError",
+    "ClassRule",
+    "Client",
+    "Expired",
+    "ExpiredError",
+    "Failed",
+    "FailedError",
+    "Outcome",
+    "Policy",
+    "Refused",
+    "RefusedError",
+    "Served",
+    "Settings",
+    "SettingsError",
+    "Uncertain",
+    "UncertainError",
+    "load",
+]
--- a/lapishaven/client/fleet/keeping.py
+++ b/lapishaven/client/fleet/keeping.py
@@ -63,9 +63,15 @@
     """One client's. ``peers`` is the policy's own table of servers followed; nothing here changes it."""
 
     def __init__(
-        self, rules: Connections, membership: Membership, peers: Mapping[str, Known], number: int, random: Random,
-        catalog: bool, shared: float = 0.0,
-    ) -> None:  # fmt: skip
+        self,
+        rules: Connections,
+        membership: Membership,
+        peers: Mapping[str, Known],
+        number: int,
+        random: Random,
+        catalog: bool,
+        shared: float = 0.0,
+    ) -> None:
         self.rules, self.membership, self.peers, self.random = rules, membership, peers, random
         self.number, self.catalog = number, catalog
         self.pace = Pace(rules.spread_s, rules.spread_least_s, rules.spread_most_s)
@@ -118,9 +124,10 @@
             wide = min(len(self.window), aperture.width(self.rules.least, rate * SLACK, len(self._ring)))
         self.window = self._dealt.window(wide)
         self.stand_ins = {
-            name for name in self.stand_ins
+            name
+            for name in self.stand_ins
             if name not in self.window and name in self.membership and name in self.peers and self.peers[name].usable
-        }  # fmt: skip
+        }
 
     def follows(self, now: float, name: str) -> bool:
         """Whether the client still goes by it: its own, what stands in, and what it is not to dial again yet."""
--- a/lapishaven/client/fleet/roster.py
+++ b/lapishaven/client/fleet/roster.py
@@ -26,7 +26,7 @@
 
     def __init__(
         self, epoch: str, version: int, rows: dict[str, Listed], born: dict[str, int], serial: int = 0
-    ) -> None:  # fmt: skip
+    ) -> None:
         self.epoch, self.version, self.rows, self.born, self.serial = epoch, version, rows, born, serial
         self.names = frozenset(rows)
         self.passing = sum(row.passing for row in rows.values())
--- a/lapishaven/client/hooks.py
+++ b/lapishaven/client/hooks.py
@@ -48,9 +48,12 @@
     registry = registry or REGISTRY
     events = Counter("lapishaven_client_events", "Events of the client by name", ["event"], registry=registry)
     calls = Histogram(
-        "lapishaven_client_call_seconds", "Calls from start to end", ["cls", "end"], buckets=BUCKETS,
+        "lapishaven_client_call_seconds",
+        "Calls from start to end",
+        ["cls", "end"],
+        buckets=BUCKETS,
         registry=registry,
-    )  # fmt: skip
+    )
 
     def tell(now: float, event: str, fields: dict[str, Any]) -> None:
         events.labels(event).inc()
--- a/lapishaven/client/links.py
+++ b/lapishaven/client/links.py
@@ -50,7 +50,7 @@
         number = ticket(settings.caller, settings.callers, self.identity)
         self.keeping = Keeping(
             settings.connections, self.membership, self.peers, number, random, bool(settings.catalog), shared
-        )  # fmt: skip
+        )
         rules = Rules(watch=settings.health.watch_s, silent=settings.health.silent_s)
         self.silence: Silence[Peer] = Silence(rules, random)
         self.asks = settings.health.watch_s > 0 and not self.single  # that wire has no question
@@ -298,8 +298,9 @@
         fresh = cold * 2 < usable
         lacking = sorted(
             (max(p.dial_at, now), (p.cold_since is not None) != fresh, self.random.random(), p)
-            for p in there if not p.usable
-        )  # fmt: skip
+            for p in there
+            if not p.usable
+        )
         urgent = self._waiting_live > 0 and not self._connected
         for dial_at, _, _, peer in lacking[:missing]:
             if dial_at > now:
--- a/lapishaven/client/membership.py
+++ b/lapishaven/client/membership.py
@@ -209,9 +209,10 @@
     def sweep(self, now: float) -> list[str]:
         """Let go of what has been doubted for long enough and answered nothing since."""
         late = [
-            name for name, (_, since) in self._held.items()
+            name
+            for name, (_, since) in self._held.items()
             if max(since, self._vouched.get(name, -1e18)) + self.rules.confirm_s <= now
-        ]  # fmt: skip
+        ]
         for name in late:
             self.gone(name)
         return late
--- a/lapishaven/client/policy.py
+++ b/lapishaven/client/policy.py
@@ -51,7 +51,7 @@
 
     def __init__(
         self, settings: Settings, random: Random, now: float, hook: Hook | None = None, shared: float = 0.0
-    ) -> None:  # fmt: skip
+    ) -> None:
         """``shared``: seconds to add to the policy's clock for one that all clients share (Unix time), in whose
         slots they take turns to dial; a clock that is off costs evenness and nothing else."""
         super().__init__(settings, random, now, hook, shared)
@@ -69,19 +69,32 @@
 
     # ---- Calls
     def submit(
-        self, now: float, cls: str, body: bytes, *, deadline: float | None = None, row: int | None = None,
+        self,
+        now: float,
+        cls: str,
+        body: bytes,
+        *,
+        deadline: float | None = None,
+        row: int | None = None,
         key: str = "",
-    ) -> Call:  # fmt: skip
+    ) -> Call:
         """Begin a call. ``deadline`` is a time on the policy's clock; at the latest the class's own counts."""
         rule = self.settings.classes[cls]
         own = now + rule.deadline_s
         due = own if deadline is None else min(deadline, own)
         self._numbers += 1
         call = Call(
-            self._numbers, cls, body, rule.effect == "safe", now, due, row, rule.heap_kb,
+            self._numbers,
+            cls,
+            body,
+            rule.effect == "safe",
+            now,
+            due,
+            row,
+            rule.heap_kb,
             min(rule.rank + self.random.random() * rule.rank_span, 0.9999),
             key or f"{self.random.getrandbits(128):032x}",
-        )  # fmt: skip
+        )
         self.open_calls += 1
         self._tell(now, "call", number=call.number, cls=cls, deadline=due - now)
         if self._active == float("-inf"):
@@ -138,9 +151,14 @@
                 self._close(connection)
             self._settle(now, connection)
         self._tell(
-            now, f"end {type(outcome).__name__.lower()}", number=call.number, cls=call.cls, tries=call.sent,
-            span=now - call.started, reason=outcome.reason,
-        )  # fmt: skip
+            now,
+            f"end {type(outcome).__name__.lower()}",
+            number=call.number,
+            cls=call.cls,
+            tries=call.sent,
+            span=now - call.started,
+            reason=outcome.reason,
+        )
         self._actions.append(Finish(call, outcome))
 
     # ---- Placing
@@ -174,9 +192,14 @@
             connection = self._new(now, peer, "call")
         self._numbers += 1
         attempt = Attempt(
-            self._numbers, f"{self.random.getrandbits(64):016x}", call, peer, connection,
-            rep=call.sent > 0, second=second,
-        )  # fmt: skip
+            self._numbers,
+            f"{self.random.getrandbits(64):016x}",
+            call,
+            peer,
+            connection,
+            rep=call.sent > 0,
+            second=second,
+        )
         if call.sent == 0 and call.further == 0 and not second:
             self.repeats.first(now)
         call.state = State.OPEN
@@ -269,7 +292,7 @@
             max(peer.health.opens(now), now if peer.usable else max(peer.dial_at, dial))
             for peer in self.peers.values()
             if (peer.member.listed.passing or self.panic) and peer.suspected is None
-        ]  # fmt: skip
+        ]
         if self.aperture and not self.single and not self._connected:
             # Any server will do for a call that waits with nothing connected, also one that is not followed yet.
             wish = self.keeping.urgent(now)
--- a/lapishaven/client/settings.py
+++ b/lapishaven/client/settings.py
@@ -151,13 +151,34 @@
 
 # Bounds of numbers by their name: the least, whether that itself is allowed, and the most.
 _UNDER_ONE = {
-    "share", "error_share", "out_share", "drop_share", "second_after", "slow_start_from", "rank", "refused_cut",
-    "dial_share", "turn_share",
-}  # fmt: skip
+    "share",
+    "error_share",
+    "out_share",
+    "drop_share",
+    "second_after",
+    "slow_start_from",
+    "rank",
+    "refused_cut",
+    "dial_share",
+    "turn_share",
+}
 _MAY_BE_ZERO = {
-    "rank_span", "share", "floor_per_s", "rank", "backoff_s", "redial_s", "subset", "caller", "slow_start_s", "drain_s",
-    "crossing_quiet_s", "dial_share", "dial_floor_per_s", "callers", "watch_s",
-}  # fmt: skip
+    "rank_span",
+    "share",
+    "floor_per_s",
+    "rank",
+    "backoff_s",
+    "redial_s",
+    "subset",
+    "caller",
+    "slow_start_s",
+    "drain_s",
+    "crossing_quiet_s",
+    "dial_share",
+    "dial_floor_per_s",
+    "callers",
+    "watch_s",
+}
 
 
 def _check_numbers(of: Any, where: str) -> None:
@@ -217,9 +238,12 @@
     if odd := sorted(set(data) - known):
         raise SettingsError(f"unknown setting {odd[0]}")
     for name, kind in (
-        ("retry", Retry), ("connections", Connections), ("health", Health), ("routing", Routing),
+        ("retry", Retry),
+        ("connections", Connections),
+        ("health", Health),
+        ("routing", Routing),
         ("catalog_rules", Catalog),
-    ):  # fmt: skip
+    ):
         table = data.get(name, {})
         if isinstance(table, dict) and (odd := sorted(set(table) - {each.name for each in fields(kind)})):
             raise SettingsError(f"unknown setting {name}.{odd[0]}")
--- a/lapishaven/client/wire.py
+++ b/lapishaven/client/wire.py
@@ -62,9 +62,17 @@
         call, stamp = attempt.call, self._clock.stamp()
         self._open[self._last] = attempt.id, stamp is not None
         return jsonrpc.request(
-            self._last, call.cls, attempt.name, call.body, call.heap, recv=stamp, src=self._settings.caller,
-            rep=attempt.rep, crit=call.rank, row=call.row,
-        )  # fmt: skip
+            self._last,
+            call.cls,
+            attempt.name,
+            call.body,
+            call.heap,
+            recv=stamp,
+            src=self._settings.caller,
+            rep=attempt.rep,
+            crit=call.rank,
+            row=call.row,
+        )
 
     def withdraw(self, attempt: Attempt) -> bytes:
         return jsonrpc.forget(attempt.name)
@@ -124,9 +132,11 @@
         call, settings, stamp = attempt.call, self._settings, self._clock.stamp()
         self._attempt = attempt.id
         variables = {
-            "REQUEST_METHOD": "POST", "PATH_INFO": settings.path + call.cls, "HTTP_X_REQUEST_ID": call.key,
+            "REQUEST_METHOD": "POST",
+            "PATH_INFO": settings.path + call.cls,
+            "HTTP_X_REQUEST_ID": call.key,
             "HTTP_X_CALLER": str(settings.caller),
-        }  # fmt: skip
+        }
         if attempt.rep:
             variables["HTTP_X_RETRY"] = "1"
         if stamp is not None:
--- a/lapishaven/config.py
+++ b/lapishaven/config.py
@@ -169,9 +169,12 @@
 
 
 def load_all(
-    path: str | None = None, uwsgi_file: str | None = None, terms: str | None = None, pools: str | None = None,
+    path: str | None = None,
+    uwsgi_file: str | None = None,
+    terms: str | None = None,
+    pools: str | None = None,
     spread: str | None = None,
-) -> Files:  # fmt: skip
+) -> Files:
     """Every file that a command names, checked against the others."""
     config = load(path)
     front, backend = uwsgi(uwsgi_file) if uwsgi_file else (None, None)
@@ -180,9 +183,13 @@
     routes = {"interpreter"} | ({"uwsgi"} if backend or spread else set())
     terms_there = contracts(terms, config.settings, routes) if terms else None
     return Files(
-        config, front, backend, terms_there, _pools(pools, config.settings) if pools else None,
+        config,
+        front,
+        backend,
+        terms_there,
+        _pools(pools, config.settings) if pools else None,
         _spread(spread) if spread else None,
-    )  # fmt: skip
+    )
 
 
 def _spread(path: str) -> SpreadSettings:
@@ -272,8 +279,9 @@
         raise ConfigError(f"{path}: unknown table {sorted(odd)[0]}")
     front, backend = data.get("front"), data.get("backend")
     for name, table, keys in (
-        ("front", front, {"listen", "path", "held_kb"}), ("backend", backend, {"address", "path"}),
-    ):  # fmt: skip
+        ("front", front, {"listen", "path", "held_kb"}),
+        ("backend", backend, {"address", "path"}),
+    ):
         if table is not None and (not isinstance(table, dict) or set(table) - ({"load"} & set(table)) != keys):
             raise ConfigError(f"{path}: {name} needs exactly {', '.join(sorted(keys))}")
         if table is not None and "load" in table and (name != "front" or not isinstance(table["load"], bool)):
@@ -282,10 +290,12 @@
             raise ConfigError(f"{path}: {name}.path does not start with /")
     return (
         UwsgiFront(
-            address(front["listen"], "front.listen"), front["path"], _positive(front, "held_kb"),
+            address(front["listen"], "front.listen"),
+            front["path"],
+            _positive(front, "held_kb"),
             front.get("load", False),
         )
-        if front is not None else None,
-        UwsgiBackend(address(backend["address"], "backend.address"), backend["path"])
-        if backend is not None else None,
-    )  # fmt: skip
+        if front is not None
+        else None,
+        UwsgiBackend(address(backend["address"], "backend.address"), backend["path"]) if backend is not None else None,
+    )
--- a/lapishaven/control/metrics.py
+++ b/lapishaven/control/metrics.py
@@ -31,9 +31,13 @@
 
 
 def render(
-    counters: Counters, classes: Iterable[str], open_requests: int, ready: bool, fleet: Mapping[str, int] | None = None,
+    counters: Counters,
+    classes: Iterable[str],
+    open_requests: int,
+    ready: bool,
+    fleet: Mapping[str, int] | None = None,
     spread: Mapping[str, Any] | None = None,
-) -> bytes:  # fmt: skip
+) -> bytes:
     """The exposition text. ``classes`` are those that are served now, and any that counted before a reload."""
     names = list(dict.fromkeys(classes))
     for group, _ in BY_CLASS:
@@ -52,8 +56,11 @@
         lines += [f"# HELP {PREFIX}{metric} {text}", f"# TYPE {PREFIX}{metric} {kind}", f"{PREFIX}{metric} {value}"]
     for name, value in (fleet or {}).items():
         metric, kind = f"{PREFIX}ownership_{name}", "gauge" if name in GAUGES else "counter"
-        lines += [f"# HELP {metric} {name.replace('_', ' ')}, see docs/operators/ownership.md",
-                  f"# TYPE {metric} {kind}", f"{metric} {value}"]  # fmt: skip
+        lines += [
+            f"# HELP {metric} {name.replace('_', ' ')}, see docs/operators/ownership.md",
+            f"# TYPE {metric} {kind}",
+            f"{metric} {value}",
+        ]
     if spread is not None:
         lines += _spread(spread)
     return ("\n".join(lines) + "\n").encode()
--- a/lapishaven/core/broker.py
+++ b/lapishaven/core/broker.py
@@ -128,10 +128,23 @@
             r.repeats = known.id
         elif guarded and sub.key is not None:
             self.keys.open((sub.cls, sub.key), r.id, sub.digest)
-        self._events.append(i.Arrival(
-            r.id, sub.kb, sub.tenant, r.due if told else None, sub.caller, now - arrived, sub.retry,
-            sub.write, sub.cls, sub.rank, sub.subject, None, r.repeats,
-        ))  # fmt: skip
+        self._events.append(
+            i.Arrival(
+                r.id,
+                sub.kb,
+                sub.tenant,
+                r.due if told else None,
+                sub.caller,
+                now - arrived,
+                sub.retry,
+                sub.write,
+                sub.cls,
+                sub.rank,
+                sub.subject,
+                None,
+                r.repeats,
+            )
+        )
         return r
 
     def gone(self, r: Request) -> None:
--- a/lapishaven/fronts/load.py
+++ b/lapishaven/fronts/load.py
@@ -25,9 +25,14 @@
     """``broker``: none until the server is up; it says that it wants nothing until then."""
 
     def __init__(
-        self, loop: Loop, address: tuple[str, int], random: Random, slots: int, broker: Callable[[], Broker | None],
+        self,
+        loop: Loop,
+        address: tuple[str, int],
+        random: Random,
+        slots: int,
+        broker: Callable[[], Broker | None],
         counters: Counters,
-    ) -> None:  # fmt: skip
+    ) -> None:
         self._loop, self._broker, self._counters = loop, broker, counters
         self._start, self._slots = random.getrandbits(32), slots
         self.teller = Teller(self._start, slots, loop.now)
--- a/lapishaven/fronts/platform.py
+++ b/lapishaven/fronts/platform.py
@@ -122,10 +122,21 @@
         self.open[m.id] = None
         self._calls.setdefault(m.call, m.id)  # of two the second is failed
         sub = Submission(
-            m.call, cls, m.body, m.heap, m.crit, span, m.src, m.rep, write=m.row is None, subject=m.row, key=m.key,
+            m.call,
+            cls,
+            m.body,
+            m.heap,
+            m.crit,
+            span,
+            m.src,
+            m.rep,
+            write=m.row is None,
+            subject=m.row,
+            key=m.key,
             digest=blake2b(m.body, digest_size=DIGEST).digest() if m.key is not None else None,
-            left=m.left, tenant=self.host.tenants.get(m.tenant or "", len(self.host.tenants)),
-        )  # fmt: skip
+            left=m.left,
+            tenant=self.host.tenants.get(m.tenant or "", len(self.host.tenants)),
+        )
         request = broker.submit(self.host.loop.now, sub, lambda answer: self._answer(m, answer))
         if request is not None:
             self.open[m.id] = request
--- a/lapishaven/fronts/uwsgi.py
+++ b/lapishaven/fronts/uwsgi.py
@@ -81,10 +81,18 @@
     key = json.dumps([team, service, id]) if id else None
     who = int(caller[:10]) if caller else zlib.crc32(get("REMOTE_ADDR", "").encode()) % 65536
     return Submission(
-        handle, classes[name], request.body, front.held_kb, age=now - started,
-        caller=who, retry=get("HTTP_X_RETRY") == "1", write=True, key=key,
-        team=team, service=service,
-    )  # fmt: skip
+        handle,
+        classes[name],
+        request.body,
+        front.held_kb,
+        age=now - started,
+        caller=who,
+        retry=get("HTTP_X_RETRY") == "1",
+        write=True,
+        key=key,
+        team=team,
+        service=service,
+    )
 
 
 class Session:
@@ -92,7 +100,7 @@
 
     def __init__(
         self, host: Host, sock: socket.socket, front: UwsgiFront, random: Random, word: Callable[[], str] | None = None
-    ) -> None:  # fmt: skip
+    ) -> None:
         """``word``: what each answer is to say of this server's load."""
         self.host, self.front, self._random, self._word = host, front, random, word
         self.conn = Conn(host.loop, sock, self._ended)
--- a/lapishaven/lab/baselines.py
+++ b/lapishaven/lab/baselines.py
@@ -139,11 +139,19 @@
         future: asyncio.Future[jsonrpc.Result | jsonrpc.Error] = asyncio.get_running_loop().create_future()
         line.open[line.last] = future
         rule = self.settings.classes[cls]
-        line.writer.write(jsonrpc.request(
-            line.last, cls, f"{self.random.getrandbits(64):016x}", body, rule.heap_kb, recv=time.time(),
-            src=self.settings.caller, rep=again and self.marks,
-            crit=min(rule.rank + self.random.random() * rule.rank_span, 0.9999),
-        ))  # fmt: skip
+        line.writer.write(
+            jsonrpc.request(
+                line.last,
+                cls,
+                f"{self.random.getrandbits(64):016x}",
+                body,
+                rule.heap_kb,
+                recv=time.time(),
+                src=self.settings.caller,
+                rep=again and self.marks,
+                crit=min(rule.rank + self.random.random() * rule.rank_span, 0.9999),
+            )
+        )
         return await future
 
     async def _open(self, line: _Line, row: Listed) -> None:
--- a/lapishaven/lab/catalog.py
+++ b/lapishaven/lab/catalog.py
@@ -40,8 +40,9 @@
         """Take off what has lapsed; a change makes a version."""
         rows = tuple(
             Listed(name, *self.addresses[name], passing)
-            for name, (at, passing) in sorted(self._reports.items()) if now - at < EXPIRY
-        )  # fmt: skip
+            for name, (at, passing) in sorted(self._reports.items())
+            if now - at < EXPIRY
+        )
         last = self._history[-1][1]
         if rows != last.servers:
             self._history.append((now, Listing(self.epoch, last.version + 1, rows)))
--- a/lapishaven/lab/clientsim.py
+++ b/lapishaven/lab/clientsim.py
@@ -94,9 +94,7 @@
         self._heap: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self._order = 0
         boxes = [site.box(self.random) for _ in range(spec.servers)]
-        self.servers = {
-            f"n{n + 1}": Server(f"n{n + 1}", box.cores, box.speed) for n, box in enumerate(boxes)
-        }  # fmt: skip
+        self.servers = {f"n{n + 1}": Server(f"n{n + 1}", box.cores, box.speed) for n, box in enumerate(boxes)}
         self.rate = spec.load * sum(s.cores * s.speed for s in self.servers.values()) / site.MEAN_WORK
         self.listing = self._list(0)
         self.steps = parse(spec.script, list(self.servers), spec.seed)
@@ -332,8 +330,9 @@
     def _list(self, version: int) -> Listing:
         rows = tuple(
             Listed(s.name, "127.0.0.1", 1 + n, self._passing(s))
-            for n, s in enumerate(self.servers.values()) if s.up or self.now - s.gone_at < EXPIRY
-        )  # fmt: skip
+            for n, s in enumerate(self.servers.values())
+            if s.up or self.now - s.gone_at < EXPIRY
+        )
         return Listing("sim", version, rows)
 
     def _passing(self, server: Any) -> bool:
@@ -370,18 +369,26 @@
         load = [at for at in self.connects + self.tries if 0.0 <= at < until]
         surge = max((s.factor for s in self.steps if s.what == "surge"), default=1.0)
         return {
-            "spec": asdict(self.spec), "rate": round(self.rate, 1), "outcomes": dict(self.outcomes),
+            "spec": asdict(self.spec),
+            "rate": round(self.rate, 1),
+            "outcomes": dict(self.outcomes),
             "worth": round(self.worth / max(self.asked, 1e-9), 4),
             "commit_worth": round(self.commit_worth / max(self.commits, 1e-9), 4),
-            "dials": len(self.connects), "busiest_dials": most_in_a_second(self.connects, -self.spec.settle, until),
+            "dials": len(self.connects),
+            "busiest_dials": most_in_a_second(self.connects, -self.spec.settle, until),
             "busiest": most_in_a_second(load, 0.0, until),
             "storm": round(most_in_a_second(load, 0.0, until) / (self.rate * surge), 3),
             "storm_connects": round(most_in_a_second(self.connects, 0.0, until) / (self.rate * surge), 3),
             "tries_per_call": round(sum(self.first.values()) / max(1, self.first[False]), 3),
-            "late_tries": self.late, "unmarked": self.unmarked, "commits_twice": self.twice,
-            "balance": self.balance, "links": self.links,
-            "events": self.events, "events_per_s": round(self.events / wall), "wall_s": round(wall, 2),
-        }  # fmt: skip
+            "late_tries": self.late,
+            "unmarked": self.unmarked,
+            "commits_twice": self.twice,
+            "balance": self.balance,
+            "links": self.links,
+            "events": self.events,
+            "events_per_s": round(self.events / wall),
+            "wall_s": round(wall, 2),
+        }
 
 
 class NaivePolicy(Policy):
--- a/lapishaven/lab/emulator.py
+++ b/lapishaven/lab/emulator.py
@@ -67,7 +67,7 @@
     names = [kind.name for kind in kinds(light)]
     return parse_pools(
         {"pool": rows, "reserve": {"pool": "light" if light else "commits", "share": 0.15}}, names, cores
-    )  # fmt: skip
+    )
 
 
 class FixedPartitions(Pools):
@@ -164,9 +164,11 @@
             return
         busy = self.cores.on_cores + min(len(self.unread), self.box.cores)
         values = {
-            "core_use": self.cores.used, "on_cores": float(busy), "links": 1.0,
+            "core_use": self.cores.used,
+            "on_cores": float(busy),
+            "links": 1.0,
             "heap_share": len(self.cores.runs) / (self.box.memory_runs * self.box.cores),
-        }  # fmt: skip
+        }
         self.broker.gauges(values)
         self.turn()
 
@@ -231,9 +233,16 @@
             return
         kind = e.kinds[request.cls]
         sub = Submission(
-            attempt.name, request.cls, b"%d" % request.client, 30.0, call.rank, age, request.client,
-            attempt.rep, write=not kind.safe,
-        )  # fmt: skip
+            attempt.name,
+            request.cls,
+            b"%d" % request.client,
+            30.0,
+            call.rank,
+            age,
+            request.client,
+            attempt.rep,
+            write=not kind.safe,
+        )
         self.open[attempt.name] = request
         request.at = e.now
         due, life = e.now - age + kind.deadline, self.life
@@ -269,7 +278,7 @@
         base = ClientSettings(rules, catalog="127.0.0.1:1")
         base = replace(
             base, retry=replace(base.retry, tries=spec.retries), routing=replace(base.routing, strategy=spec.strategy)
-        )  # fmt: skip
+        )
         self._plans: dict[str, float] = {}
         super().__init__(spec, base)
         random = Random(spec.seed ^ 0xB0)
@@ -406,16 +415,20 @@
             name: {
                 "on_time": round(self.on_time[name] / max(1, self.asked_by[name]), 4),
                 "served": round(self.served[name] / max(1, self.asked_by[name]), 4),
-                "longest_s": round(self.longest[name], 3), "waited_s": round(self.waited[name], 3),
+                "longest_s": round(self.longest[name], 3),
+                "waited_s": round(self.waited[name], 3),
             }
-            for name in self.names if self.asked_by[name]
-        }  # fmt: skip
+            for name in self.names
+            if self.asked_by[name]
+        }
         return {
-            **found, "classes": by_class, "falls": sum(m.falls for m in machines),
+            **found,
+            "classes": by_class,
+            "falls": sum(m.falls for m in machines),
             "worst_crowd": round(max(m.worst_crowd for m in machines), 2),
             "worst_memory": round(max(m.worst_memory for m in machines), 3),
             "late_answers": sum(m.late for m in machines),
-        }  # fmt: skip
+        }
 
 
 def main(spec: EmulatorSpec) -> dict[str, Any]:
--- a/lapishaven/lab/etcd.py
+++ b/lapishaven/lab/etcd.py
@@ -78,9 +78,12 @@
     def call(self, now: float, path: str, body: dict[str, Any]) -> dict[str, Any]:
         """Carry out one call; ``Refused`` where etcd answers with an error."""
         work: dict[str, Callable[[float, dict[str, Any]], dict[str, Any]]] = {
-            "/v3/lease/grant": self._grant, "/v3/lease/keepalive": self._keepalive, "/v3/lease/revoke": self._revoke,
-            "/v3/kv/range": self._range, "/v3/kv/txn": self._txn,
-        }  # fmt: skip
+            "/v3/lease/grant": self._grant,
+            "/v3/lease/keepalive": self._keepalive,
+            "/v3/lease/revoke": self._revoke,
+            "/v3/kv/range": self._range,
+            "/v3/kv/txn": self._txn,
+        }
         if path not in work:
             raise Refused(404, "Not Found")
         return work[path](now, body)
@@ -121,8 +124,13 @@
 
     def _kv(self, name: str) -> dict[str, str]:
         entry = self.entries[name]
-        kv = {"key": name, "create_revision": str(entry.create), "mod_revision": str(entry.mod),
-              "version": str(entry.version), "value": entry.value}  # fmt: skip
+        kv = {
+            "key": name,
+            "create_revision": str(entry.create),
+            "mod_revision": str(entry.mod),
+            "version": str(entry.version),
+            "value": entry.value,
+        }
         return {**kv, "lease": str(entry.lease)} if entry.lease else kv
 
     def _holds(self, compare: dict[str, Any]) -> bool:
@@ -288,13 +296,25 @@
     spec = json.loads(sys.argv[1])
     gateway = Gateway(spec.get("min_ttl", MIN_TTL))
     server = serve(spec.get("host", "127.0.0.1"), spec.get("port", 0), gateway)
-    print(json.dumps({"at": time.monotonic(), "who": spec["name"], "what": "start",
-                      "port": server.server_address[1]}), flush=True)  # fmt: skip
+    print(
+        json.dumps({"at": time.monotonic(), "who": spec["name"], "what": "start", "port": server.server_address[1]}),
+        flush=True,
+    )
     for line in sys.stdin:
         words = json.loads(line)
         if words.get("report"):
-            print(json.dumps({"at": time.monotonic(), "who": spec["name"], "what": "calls", "calls": gateway.calls,
-                              "keys": len(gateway.store.entries)}), flush=True)  # fmt: skip
+            print(
+                json.dumps(
+                    {
+                        "at": time.monotonic(),
+                        "who": spec["name"],
+                        "what": "calls",
+                        "calls": gateway.calls,
+                        "keys": len(gateway.store.entries),
+                    }
+                ),
+                flush=True,
+            )
         else:
             gateway.fault(words)
 
--- a/lapishaven/lab/field/checker.py
+++ b/lapishaven/lab/field/checker.py
@@ -68,8 +68,11 @@
             if line["who"] == fault["process"] and line["what"] in ("gained", "lost", "handed"):
                 owned[line["duty"], line["shard"]] = line["what"] == "gained"
         for shard in [shard for shard, yes in owned.items() if yes]:
-            after = [line["at"] for line in ordered if line["at"] > fault["at"] and line["what"] == "gained"
-                     and (line["duty"], line["shard"]) == shard]  # fmt: skip
+            after = [
+                line["at"]
+                for line in ordered
+                if line["at"] > fault["at"] and line["what"] == "gained" and (line["duty"], line["shard"]) == shard
+            ]
             spans.append(after[0] - fault["at"] if after else float("inf"))
     return spans
 
--- a/lapishaven/lab/field/field.py
+++ b/lapishaven/lab/field/field.py
@@ -98,9 +98,15 @@
         words = words or tuple(old.spec["words"] if old is not None else ())
         with open(self.folder / f"{name}.log", "ab") as log:
             popen = subprocess.Popen(
-                [sys.executable, "-m", "lapishaven", "serve", *words], stdin=subprocess.DEVNULL, stdout=log, stderr=log,
-                cwd=ROOT, bufsize=0, env={**os.environ, "PYTHONPATH": str(ROOT)}, preexec_fn=_die_with_parent,
-            )  # fmt: skip
+                [sys.executable, "-m", "lapishaven", "serve", *words],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                cwd=ROOT,
+                bufsize=0,
+                env={**os.environ, "PYTHONPATH": str(ROOT)},
+                preexec_fn=_die_with_parent,
+            )
         proc = self.procs[name] = Proc(name, {"words": words}, popen, "", ended=old.ended if old else [])
         return proc
 
@@ -114,9 +120,14 @@
         module = module or self._module
         popen = subprocess.Popen(
             [sys.executable, "-m", module, json.dumps({"name": name, **spec})],
-            stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=None, cwd=ROOT, bufsize=0,
-            env={**os.environ, "PYTHONPATH": str(ROOT)}, preexec_fn=_die_with_parent,
-        )  # fmt: skip
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=None,
+            cwd=ROOT,
+            bufsize=0,
+            env={**os.environ, "PYTHONPATH": str(ROOT)},
+            preexec_fn=_die_with_parent,
+        )
         proc = Proc(name, spec, popen, module, ended=old.ended if old else [])
         self.procs[name] = proc
         assert popen.stdout is not None
--- a/lapishaven/lab/field/hands.py
+++ b/lapishaven/lab/field/hands.py
@@ -44,8 +44,9 @@
     """An interpreter whose runs end by a timer each."""
 
     def __init__(self, number: int, hall: Hall, box: Box, scale: float, random: Random) -> None:
-        works = {name: replace(work, least=work.least * scale, most=work.most * scale)
-                 for name, work in site.WORKS.items()}  # fmt: skip
+        works = {
+            name: replace(work, least=work.least * scale, most=work.most * scale) for name, work in site.WORKS.items()
+        }
         super().__init__(box, works, random, site.GAUGES)
         self._at, self._hall = number, hall
         self._queue: deque[str] = deque()
@@ -130,10 +131,15 @@
 async def run(spec: dict[str, Any]) -> None:
     loop, hall, random = asyncio.get_running_loop(), Hall(), Random(spec["seed"])
     lights = [
-        Light(n, hall, Box(cores=spec["slots"], speed=speed, cold_span=spec.get("cold_span", 4.0)), spec["scale"],
-              Random(random.getrandbits(64)))
+        Light(
+            n,
+            hall,
+            Box(cores=spec["slots"], speed=speed, cold_span=spec.get("cold_span", 4.0)),
+            spec["scale"],
+            Random(random.getrandbits(64)),
+        )
         for n, speed in enumerate(spec["speeds"])
-    ]  # fmt: skip
+    ]
     for light in lights:
         await light.open("127.0.0.1")
     catalog = Catalog(0.1)
--- a/lapishaven/lab/field/long.py
+++ b/lapishaven/lab/field/long.py
@@ -45,11 +45,17 @@
             found = cases[self.case]()
             lines, rows = list(field.lines), self._team.effects()
             return {
-                "case": self.case, "coordinator": self.coordinator, "span": self.span, "fenced": self.fenced,
-                "effects": len(rows), "older_accepted": int(interleaved(rows) is not None),
-                "broken": self._team.broken(), "stale_refused": sum(line["what"] == "stale" for line in lines),
-                "real_s": round(time.monotonic() - began, 1), **found,
-            }  # fmt: skip
+                "case": self.case,
+                "coordinator": self.coordinator,
+                "span": self.span,
+                "fenced": self.fenced,
+                "effects": len(rows),
+                "older_accepted": int(interleaved(rows) is not None),
+                "broken": self._team.broken(),
+                "stale_refused": sum(line["what"] == "stale" for line in lines),
+                "real_s": round(time.monotonic() - began, 1),
+                **found,
+            }
 
     def _pass(self, span: float) -> None:
         """Seconds by the clock that the histories have; members write all the time."""
@@ -110,9 +116,10 @@
                 firsts.setdefault(line["shard"], line["at"])
         joins = [x["at"] for x in lines if x["what"] == "joined" and x["at"] > back - 0.5]
         return {
-            "acts_while_away": len(during), "without_owner_s": round(max(firsts.values()) - back, 2),
+            "acts_while_away": len(during),
+            "without_owner_s": round(max(firsts.values()) - back, 2),
             "joins_spread_s": round(max(joins) - min(joins), 2) if joins else None,
-        }  # fmt: skip
+        }
 
     @staticmethod
     def _all(lines: Sequence[Line], since: float, shards: int) -> bool:
--- a/lapishaven/lab/field/mute.py
+++ b/lapishaven/lab/field/mute.py
@@ -106,6 +106,7 @@
         await asyncio.gather(*tasks)
         starts = fleet.starts()
         counts: Counter[str] = sum((Counter(client.policy.counts) for client in clients), Counter())
+
     def past_aim(calls: list[tuple[float, site.Kind, bytes, float, Outcome]]) -> list[Any]:
         return [each for each in calls if each[3] > each[1].aim or not isinstance(each[4], Served | Uncertain)]
 
@@ -120,20 +121,26 @@
     bins = Counter(int(at / BIN) for at in woken)
     to_silent = [each for each in tries if each.server in names and stop + 1.0 < each.at < wake]
     return {
-        "asks": spec.asks, "servers": spec.servers, "clients": spec.clients, "rate": spec.rate, "calls": len(inside),
-        "late": round(len(late) / len(inside), 4), "late_before": round(len(past_aim(calm)) / len(calm), 4),
+        "asks": spec.asks,
+        "servers": spec.servers,
+        "clients": spec.clients,
+        "rate": spec.rate,
+        "calls": len(inside),
+        "late": round(len(late) / len(inside), 4),
+        "late_before": round(len(past_aim(calm)) / len(calm), 4),
         "to_silent_after_1_s": len(to_silent),
         "uncertain": sum(isinstance(each[4], Uncertain) for each in inside),
         "not_served": round(sum(not isinstance(each[4], Served) for each in inside) / len(inside), 4),
         "commits_twice": sum(starts[body] > 1 for _, kind, body, _, _ in found if not kind.safe),
-        "tries_a_call": round(len(tries) / len(found), 3), "asks_a_call": round(counts["ask"] / len(found), 2),
+        "tries_a_call": round(len(tries) / len(found), 3),
+        "asks_a_call": round(counts["ask"] / len(found), 2),
         "given_up": counts["given up"],
         # Of the second half after the wake, over their fair part; the busiest span there over a fair one's mean.
         "share_back": round(back[0] / max(1, back[1]) / fair, 3),
         "herd": round(max(bins.values(), default=0) / (fair * len(sent) / spec.after * BIN), 2),
         "ran_given_up": sum(at >= wake > over.get(body, wake) for at, body in runs),
         "why": dict(Counter(f"{type(e[4]).__name__}: {e[4].reason}" for e in late).most_common(6)),
-    }  # fmt: skip
+    }
 
 
 def main() -> None:
--- a/lapishaven/lab/field/process.py
+++ b/lapishaven/lab/field/process.py
@@ -86,10 +86,13 @@
     plan = Plan(periods.SCHEMA, periods.PLAN.guarded, {"close": close})
     book = Book(path, {"periods": plan})
     return book, periods.Periods(
-        SHARDS, LENGTH, 0.1, time.time,
+        SHARDS,
+        LENGTH,
+        0.1,
+        time.time,
         lambda shard: book.read("select max(period) from period_closed where shard = ?", (shard,))[0][0],
         lambda shard: book.read("select min(period) from consumption where shard = ?", (shard,))[0][0],
-    )  # fmt: skip
+    )
 
 
 class Points:
--- a/lapishaven/lab/field/tier.py
+++ b/lapishaven/lab/field/tier.py
@@ -45,9 +45,20 @@
     further ports that fronts are told of. ``listed``: the processes that are in the list at the next ``reload``."""
 
     def __init__(
-        self, field: Field, fronts: int, speeds: Sequence[float], *, seed: int = 1, slots: int = 4, scale: float = 1.0,
-        policy: str = "", cold_span: float = 4.0, extra: Sequence[int] = (), words: Sequence[str] = (), plain: int = 0,
-    ) -> None:  # fmt: skip
+        self,
+        field: Field,
+        fronts: int,
+        speeds: Sequence[float],
+        *,
+        seed: int = 1,
+        slots: int = 4,
+        scale: float = 1.0,
+        policy: str = "",
+        cold_span: float = 4.0,
+        extra: Sequence[int] = (),
+        words: Sequence[str] = (),
+        plain: int = 0,
+    ) -> None:
         self.field, self.seed, self.slots, self.speeds, self.scale = field, seed, slots, list(speeds), scale
         self.policy, self.cold_span, self._extra = policy, cold_span, list(extra)
         self.words = list(words)  # further ones of the processes' command lines
@@ -67,8 +78,16 @@
 
     def __enter__(self) -> Tier:
         names = self.backs + self.fronts + self.plain
-        self.field.start("hands", "lapishaven.lab.field.hands", seed=self.seed, slots=self.slots, scale=self.scale,
-                         speeds=self.speeds, names=names, cold_span=self.cold_span)  # fmt: skip
+        self.field.start(
+            "hands",
+            "lapishaven.lab.field.hands",
+            seed=self.seed,
+            slots=self.slots,
+            scale=self.scale,
+            speeds=self.speeds,
+            names=names,
+            cold_span=self.cold_span,
+        )
         there = self.field.first("start", who="hands")
         for name in names:
             self.ports[name] = self._ports.take(HOST)[1]
@@ -102,9 +121,19 @@
         box = Box(cores=cores, cold_span=self.cold_span)
         listen = self._ports.take(HOST)
         self.controls[name] = self._ports.take(HOST)[1]
-        config = json.loads(site.configuration(
-            name, listen, (HOST, vm), (HOST, catalog), self.random.getrandbits(64), box, len(self.backs), 4, False,
-        ))  # fmt: skip
+        config = json.loads(
+            site.configuration(
+                name,
+                listen,
+                (HOST, vm),
+                (HOST, catalog),
+                self.random.getrandbits(64),
+                box,
+                len(self.backs),
+                4,
+                False,
+            )
+        )
         place = self._write(f"{name}.json", json.dumps({**config, "control": f"{HOST}:{self.controls[name]}"}))
         text = f'[front]\nlisten = "{HOST}:{self.ports[name]}"\npath = "/match/"\nheld_kb = 8.0\nload = true\n'
         if name in self.plain:
@@ -148,7 +177,7 @@
     # ---- Calls
     async def call(
         self, front: str, cls: str, body: bytes, at: float, timeout: float = 6.0, more: Mapping[str, str] | None = None
-    ) -> Call:  # fmt: skip
+    ) -> Call:
         """One call, counted from ``at`` on the loop's clock. ``more``: further variables of its packet."""
         loop = asyncio.get_running_loop()
         status = 0
@@ -197,5 +226,10 @@
     def part(q: float) -> float:
         return round(spans[min(len(spans) - 1, int(q * len(spans)))], 4)
 
-    return {"calls": len(calls), "p50": part(0.5), "p99": part(0.99), "on_time": round(1 - late / len(calls), 4),
-            "statuses": dict(sorted(statuses.items()))}  # fmt: skip
+    return {
+        "calls": len(calls),
+        "p50": part(0.5),
+        "p99": part(0.99),
+        "on_time": round(1 - late / len(calls), 4),
+        "statuses": dict(sorted(statuses.items())),
+    }
--- a/lapishaven/lab/field/trial.py
+++ b/lapishaven/lab/field/trial.py
@@ -20,8 +20,7 @@
 from lapishaven.ownership.verify import Row, doubled, interleaved
 
 TTL = 1.0
-RULES = {"ttl": TTL, "margin": 0.1, "settle": 0.1, "poll": 0.1, "spread": 0.3, "hand_wait": 0.3,
-         "flap_limit": 1.0}  # fmt: skip
+RULES = {"ttl": TTL, "margin": 0.1, "settle": 0.1, "poll": 0.1, "spread": 0.3, "hand_wait": 0.3, "flap_limit": 1.0}
 
 
 @dataclass
@@ -43,8 +42,11 @@
         with Field() as there:
             self._field = there
             self._setup(names)
-            self._field.wait("every shard", lambda lines: len(
-                {(x["duty"], x["shard"]) for x in lines if x["what"] == "acked"}) == self.shards, 60.0)  # fmt: skip
+            self._field.wait(
+                "every shard",
+                lambda lines: len({(x["duty"], x["shard"]) for x in lines if x["what"] == "acked"}) == self.shards,
+                60.0,
+            )
             plan = draw(names, self.faults, self.seconds, TTL, self.seed, self.coordinator == "etcd")
             self._play(plan)
             if self.mode == "ours":
@@ -58,8 +60,9 @@
     def _setup(self, names: list[str]) -> None:
         there = self._field
         spec: dict[str, Any] = {"shards": self.shards, "every": 0.03, "rules": RULES, "timeout": 0.3}
-        there.start("book", "lapishaven.lab.field.books", book=str(there.folder / "book.db"),
-                    fenced=self.mode == "ours")  # fmt: skip
+        there.start(
+            "book", "lapishaven.lab.field.books", book=str(there.folder / "book.db"), fenced=self.mode == "ours"
+        )
         spec["receiver"] = there.first("start", who="book")["port"]
         if self.coordinator == "etcd":
             there.start("etcd", "lapishaven.lab.etcd", min_ttl=1)
@@ -106,10 +109,14 @@
             there.say(name, step=fault.span)
         else:
             words: dict[str, dict[str, Any]] = {
-                "stall": {"stall": fault.span}, "refuse": {"refuse": fault.span}, "lose": {"lose": 2},
-                "twice": {"twice": 3}, "late": {"late": 0.5, "for": fault.span},
-                "restart kept": {"restart": "kept"}, "restart aged": {"restart": "aged"},
-            }  # fmt: skip
+                "stall": {"stall": fault.span},
+                "refuse": {"refuse": fault.span},
+                "lose": {"lose": 2},
+                "twice": {"twice": 3},
+                "late": {"late": 0.5, "for": fault.span},
+                "restart kept": {"restart": "kept"},
+                "restart aged": {"restart": "aged"},
+            }
             there.say("etcd", **words[kind])
 
     def _back(self, what: str, name: str) -> None:
@@ -127,8 +134,9 @@
     def _calm(self) -> None:
         """Wait until every shard has had an act by its newest owner for a while."""
         since = len(self._field.lines)
-        self._field.wait("calm", lambda lines: len(
-            {x["shard"] for x in lines[since:] if x["what"] == "acked"}) == self.shards, 60.0)  # fmt: skip
+        self._field.wait(
+            "calm", lambda lines: len({x["shard"] for x in lines[since:] if x["what"] == "acked"}) == self.shards, 60.0
+        )
         self._quiet(2.2)
 
     def _quiet(self, span: float) -> None:
@@ -164,14 +172,21 @@
         acts = [((duty, shard), f"{json.loads(detail)['who']}/{token}") for duty, shard, token, _, detail in found]
         kills, leaves = followed(lines, "quiet kill"), handed_over(lines)
         return {
-            "coordinator": self.coordinator, "mode": self.mode, "seed": self.seed, "faults": faults,
-            "effects": len(rows), "interleaved": returns(acts), "broken": broken(rows, lines),
-            "older_accepted": int(interleaved(rows) is not None), "doubled": int(doubled(rows) is not None),
+            "coordinator": self.coordinator,
+            "mode": self.mode,
+            "seed": self.seed,
+            "faults": faults,
+            "effects": len(rows),
+            "interleaved": returns(acts),
+            "broken": broken(rows, lines),
+            "older_accepted": int(interleaved(rows) is not None),
+            "doubled": int(doubled(rows) is not None),
             "acts_lost": int(lost(rows, lines) is not None),
             "stale_refused": sum(line["what"] == "stale" for line in lines),
             "after_kill_s": sorted(round(span, 3) for span in kills),
-            "after_leave_s": sorted(round(span, 3) for span in leaves)[-3:], "leaves": len(leaves),
-        }  # fmt: skip
+            "after_leave_s": sorted(round(span, 3) for span in leaves)[-3:],
+            "leaves": len(leaves),
+        }
 
 
 def main() -> None:
--- a/lapishaven/lab/fleet.py
+++ b/lapishaven/lab/fleet.py
@@ -59,10 +59,20 @@
     """``async with Fleet(4, seed=1) as fleet: ...``; clients find the servers at ``fleet.catalog.address``."""
 
     def __init__(
-        self, servers: int, seed: int, *, callers: int = 4, boxes: Sequence[Box] = (), lag: float = 1.5,
-        host: str = "", catalog_host: str = "", catalog_port: int = 0, log: Path | None = None,
-        extra: Sequence[str] = (), keep: bool = False,
-    ) -> None:  # fmt: skip
+        self,
+        servers: int,
+        seed: int,
+        *,
+        callers: int = 4,
+        boxes: Sequence[Box] = (),
+        lag: float = 1.5,
+        host: str = "",
+        catalog_host: str = "",
+        catalog_port: int = 0,
+        log: Path | None = None,
+        extra: Sequence[str] = (),
+        keep: bool = False,
+    ) -> None:
         self._closing = False
         self._keep = keep  # a server that leaves by itself, with code 0, is started again
         self.random = Random(seed)
@@ -188,17 +198,35 @@
         node.interpreter.reset(cold)
         node.starts += 1
         node.expected = False
-        node.config.write_text(site.configuration(
-            node.name, node.address, node.interpreter.address, self.catalog.address, self.random.getrandbits(64),
-            node.box, len(self.boxes), self._callers, cold,
-        ))  # fmt: skip
+        node.config.write_text(
+            site.configuration(
+                node.name,
+                node.address,
+                node.interpreter.address,
+                self.catalog.address,
+                self.random.getrandbits(64),
+                node.box,
+                len(self.boxes),
+                self._callers,
+                cold,
+            )
+        )
         out = open(self._log, "ab") if self._log is not None else None  # noqa: SIM115
         try:
             node.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "lapishaven", "serve", "--config", str(node.config), *self._extra,
-                stdin=asyncio.subprocess.DEVNULL, stdout=out or asyncio.subprocess.DEVNULL,
-                stderr=out or asyncio.subprocess.DEVNULL, cwd=ROOT, env={**os.environ, "PYTHONPATH": str(ROOT)},
-            )  # fmt: skip
+                sys.executable,
+                "-m",
+                "lapishaven",
+                "serve",
+                "--config",
+                str(node.config),
+                *self._extra,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=out or asyncio.subprocess.DEVNULL,
+                stderr=out or asyncio.subprocess.DEVNULL,
+                cwd=ROOT,
+                env={**os.environ, "PYTHONPATH": str(ROOT)},
+            )
         finally:
             if out is not None:
                 out.close()
@@ -265,9 +293,14 @@
 
     async def __aenter__(self) -> RemoteFleet:
         self._process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "lapishaven.lab.fleet", json.dumps(self._spec), stdin=asyncio.subprocess.PIPE,
-            stdout=asyncio.subprocess.PIPE, limit=64 * 1024 * 1024,
-        )  # fmt: skip
+            sys.executable,
+            "-m",
+            "lapishaven.lab.fleet",
+            json.dumps(self._spec),
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            limit=64 * 1024 * 1024,
+        )
         ready = await self._read()
         self.capacity: float = ready["capacity"]
         self.names: list[str] = ready["names"]
@@ -314,9 +347,16 @@
     async with Fleet(spec["servers"], spec["seed"], callers=spec["callers"], extra=extra) as fleet:
         await fleet.ready()
         steps = parse(spec["script"], fleet.names, spec["seed"])
-        print(json.dumps({
-            "capacity": fleet.capacity(), "names": fleet.names, "catalog": fleet.catalog.address,
-        }), flush=True)  # fmt: skip
+        print(
+            json.dumps(
+                {
+                    "capacity": fleet.capacity(),
+                    "names": fleet.names,
+                    "catalog": fleet.catalog.address,
+                }
+            ),
+            flush=True,
+        )
         script: asyncio.Task[None] | None = None
         while line := await reader.readline():
             words = json.loads(line)
@@ -324,10 +364,17 @@
                 script = loop.create_task(fleet.play(steps, words["start"]))
             else:
                 starts = {body.decode(): count for body, count in fleet.starts().items()}
-                print(json.dumps({
-                    "starts": starts, "crashes": fleet.crashes, "events": len(fleet.events),
-                    "rejected": sum(node.interpreter.rejected for node in fleet.nodes.values()),
-                }), flush=True)  # fmt: skip
+                print(
+                    json.dumps(
+                        {
+                            "starts": starts,
+                            "crashes": fleet.crashes,
+                            "events": len(fleet.events),
+                            "rejected": sum(node.interpreter.rejected for node in fleet.nodes.values()),
+                        }
+                    ),
+                    flush=True,
+                )
         if script is not None:
             script.cancel()
 
--- a/lapishaven/lab/handover/book.py
+++ b/lapishaven/lab/handover/book.py
@@ -163,12 +163,21 @@
         twice = sum(1 for body, n in begun.items() if n > 1 and body in self.requests and self.requests[body].once)
         reasons = Counter(r.reason for r in self.requests.values() if r.ended is Ended.REFUSED)
         return Verdict(
-            len(self.requests), ends[Ended.SERVED], ends[Ended.REFUSED], ends[Ended.FAILED],
-            ends[Ended.DIAL_REFUSED], ends[Ended.RESET], ends[Ended.CUT], ends[Ended.UNANSWERED],
+            len(self.requests),
+            ends[Ended.SERVED],
+            ends[Ended.REFUSED],
+            ends[Ended.FAILED],
+            ends[Ended.DIAL_REFUSED],
+            ends[Ended.RESET],
+            ends[Ended.CUT],
+            ends[Ended.UNANSWERED],
             sum(r.late for r in self.requests.values()),
-            sum(max(0, r.answers - 1) for r in self.requests.values()), late, refused_after, twice,
+            sum(max(0, r.answers - 1) for r in self.requests.values()),
+            late,
+            refused_after,
+            twice,
             dict(sorted(reasons.items())),
-        )  # fmt: skip
+        )
 
     def _end(self, request: Sent, at: float, ended: Ended) -> None:
         request.ended, request.ended_at = ended, at
--- a/lapishaven/lab/handover/platform.py
+++ b/lapishaven/lab/handover/platform.py
@@ -71,9 +71,14 @@
     """``async with Platform(host, folder) as platform``: ``platform.address`` is where callers connect."""
 
     def __init__(
-        self, host: str, folder: Path, *, told: Callable[[float, str], None] = lambda at, name: None,
-        extra: Sequence[str] = (), inherit: bool = True,
-    ) -> None:  # fmt: skip
+        self,
+        host: str,
+        folder: Path,
+        *,
+        told: Callable[[float, str], None] = lambda at, name: None,
+        extra: Sequence[str] = (),
+        inherit: bool = True,
+    ) -> None:
         """With ``inherit`` the platform holds the callers' socket; without, each process binds its address."""
         self.host, self.folder, self._told, self._extra, self.inherit = host, folder, told, extra, inherit
         self.ports = Ports()
@@ -114,10 +119,20 @@
             passed = (self.sock.fileno(),)
         try:
             child = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "lapishaven", "serve", "--config", str(path), *self._extra,
-                stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.DEVNULL,
-                stderr=asyncio.subprocess.PIPE, pass_fds=passed, cwd=ROOT, env=env,
-            )  # fmt: skip
+                sys.executable,
+                "-m",
+                "lapishaven",
+                "serve",
+                "--config",
+                str(path),
+                *self._extra,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=asyncio.subprocess.DEVNULL,
+                stderr=asyncio.subprocess.PIPE,
+                pass_fds=passed,
+                cwd=ROOT,
+                env=env,
+            )
         except OSError as error:
             raise PlatformError(f"cannot start {name}: {error.strerror or error}") from None
         process = Process(name, control, child, self.loop.time())
--- a/lapishaven/lab/handover/trial.py
+++ b/lapishaven/lab/handover/trial.py
@@ -58,8 +58,12 @@
         out.update(broken=self.verdict.broken, clean=self.verdict.clean, crashes=len(self.crashes))
         out.update({f"control_{key}": value for key, value in self.control.items()})
         if self.handover is not None:
-            out.update(ready_s=round(self.handover.ready_s, 3), left_s=round(self.handover.left_s, 3),
-                       killed=self.handover.killed, old_code=self.handover.old_code)  # fmt: skip
+            out.update(
+                ready_s=round(self.handover.ready_s, 3),
+                left_s=round(self.handover.left_s, 3),
+                killed=self.handover.killed,
+                old_code=self.handover.old_code,
+            )
         return out
 
 
@@ -86,9 +90,12 @@
         try:
             for name in ("old", "new"):
                 interpreter = Interpreter(
-                    box, site.WORKS, Random(random.getrandbits(64)), site.GAUGES,
+                    box,
+                    site.WORKS,
+                    Random(random.getrandbits(64)),
+                    site.GAUGES,
                     began=lambda body, name=name: book.ran(loop.time(), body, name),  # type: ignore[misc]
-                )  # fmt: skip
+                )
                 await interpreter.open(spec.host)
                 interpreters[name] = interpreter
             return await _play(spec, Path(folder), book, random, catalog, interpreters)
@@ -107,17 +114,29 @@
     def config(name: str) -> str:
         catalog.addresses["n1"] = bound
         return site.configuration(
-            "n1", bound, interpreters[name].address, catalog.address, random.getrandbits(64), Box(), 1, 1, False,
+            "n1",
+            bound,
+            interpreters[name].address,
+            catalog.address,
+            random.getrandbits(64),
+            Box(),
+            1,
+            1,
+            False,
             spec.stop_ms,
-        )  # fmt: skip
+        )
 
     async with Platform(spec.host, folder, told=book.told_to_leave, inherit=inherit) as platform:
         bound = platform.ports.take(spec.host)
         address = platform.address if inherit else bound
         old = await platform.start("old", config("old"))
         await platform.ready(old)
-        caller = Caller(address, book, Load(spec.rate, spec.seconds, spec.connections, spec.mode != "burst"),
-                        Random(random.getrandbits(64)))  # fmt: skip
+        caller = Caller(
+            address,
+            book,
+            Load(spec.rate, spec.seconds, spec.connections, spec.mode != "burst"),
+            Random(random.getrandbits(64)),
+        )
         start = loop.time() + 0.05
         load = loop.create_task(caller.run(plan(spec, start, random)))
         scrapes: list[Scrape] = []
--- a/lapishaven/lab/interpreter.py
+++ b/lapishaven/lab/interpreter.py
@@ -127,9 +127,14 @@
     """The process beside one match server, on a loopback address."""
 
     def __init__(
-        self, box: Box, works: dict[str, Work], random: Random, gauges: tuple[str, ...],
-        fell: Callable[[], None] = lambda: None, began: Callable[[bytes], None] = lambda body: None,
-    ) -> None:  # fmt: skip
+        self,
+        box: Box,
+        works: dict[str, Work],
+        random: Random,
+        gauges: tuple[str, ...],
+        fell: Callable[[], None] = lambda: None,
+        began: Callable[[bytes], None] = lambda body: None,
+    ) -> None:
         """``fell`` is told when the box falls over, ``began`` the body of each run that begins."""
         self.box, self.works, self.random, self.gauges, self.fell = box, works, random, gauges, fell
         self.began = began
--- a/lapishaven/lab/modelcheck.py
+++ b/lapishaven/lab/modelcheck.py
@@ -85,8 +85,11 @@
     if found != z3.sat:
         raise RuntimeError(f"{model.name}: z3 gave up")
     values = solver.model()
-    at, what = min((step, what) for flag, (what, _, step) in zip(flags, broken, strict=True)
-                   if z3.is_true(values.eval(flag, model_completion=True)))  # fmt: skip
+    at, what = min(
+        (step, what)
+        for flag, (what, _, step) in zip(flags, broken, strict=True)
+        if z3.is_true(values.eval(flag, model_completion=True))
+    )
     names = []
     for choice, rules_there in taken[: at + 1]:
         names.append(rules_there[values.eval(choice, model_completion=True).as_long()])
@@ -94,8 +97,26 @@
 
 
 # ---- The fence: who acts, on a receiver that may crash between any two steps
-FENCE_NAMES = ("granted", "h0", "h1", "n0", "n1", "ft0", "fn0", "ft1", "fn1", "mt", "mn", "et", "en", "half_t",
-               "half_n", "stale", "twice", "gone")  # fmt: skip
+FENCE_NAMES = (
+    "granted",
+    "h0",
+    "h1",
+    "n0",
+    "n1",
+    "ft0",
+    "fn0",
+    "ft1",
+    "fn1",
+    "mt",
+    "mn",
+    "et",
+    "en",
+    "half_t",
+    "half_n",
+    "stale",
+    "twice",
+    "gone",
+)
 
 
 def _fence_rules(v: Vars, out: frozenset[str]) -> list[Rule]:
@@ -104,12 +125,28 @@
     rules = []
     for i in "01":
         # The coordinator may let anybody in at any time: the worst that pauses and clocks can do.
-        rules.append(Rule(f"grant {i}", z3.ULT(v["granted"], 5), {
-            "granted": v["granted"] + 1, f"h{i}": v["granted"] + 1, f"n{i}": n(0),
-        }))  # fmt: skip
-        rules.append(Rule(f"send {i}", z3.And(v[f"h{i}"] != 0, z3.ULT(v[f"n{i}"], 3)), {
-            f"ft{i}": v[f"h{i}"], f"fn{i}": v[f"n{i}"] + 1, f"n{i}": v[f"n{i}"] + 1,
-        }))  # fmt: skip
+        rules.append(
+            Rule(
+                f"grant {i}",
+                z3.ULT(v["granted"], 5),
+                {
+                    "granted": v["granted"] + 1,
+                    f"h{i}": v["granted"] + 1,
+                    f"n{i}": n(0),
+                },
+            )
+        )
+        rules.append(
+            Rule(
+                f"send {i}",
+                z3.And(v[f"h{i}"] != 0, z3.ULT(v[f"n{i}"], 3)),
+                {
+                    f"ft{i}": v[f"h{i}"],
+                    f"fn{i}": v[f"n{i}"] + 1,
+                    f"n{i}": v[f"n{i}"] + 1,
+                },
+            )
+        )
         token, number = v[f"ft{i}"], v[f"fn{i}"]
         fresh = z3.Or(z3.UGT(token, v["mt"]), z3.And(token == v["mt"], z3.UGT(number, v["mn"])))
         admitted = fresh
@@ -119,10 +156,11 @@
             admitted = z3.UGE(token, v["mt"])
         here = z3.And(token != 0, v["half_t"] == 0)
         effect = {
-            "et": token, "en": number,
+            "et": token,
+            "en": number,
             "stale": z3.If(z3.ULT(token, v["et"]), n(1), v["stale"]),
             "twice": z3.If(z3.And(token == v["et"], z3.ULE(number, v["en"])), n(1), v["twice"]),
-        }  # fmt: skip
+        }
         mark = {"mt": token, "mn": number}
         if "same transaction" in out:
             # The mark is written first, the effect in a transaction of its own.
@@ -142,14 +180,22 @@
 
 
 def _fence_bad(v: Vars, out: frozenset[str]) -> dict[str, Var]:
-    return {"two tokens' effects interleave": v["stale"] == 1, "an act took effect twice": v["twice"] == 1,
-            "an acknowledged effect is missing": v["gone"] == 1}  # fmt: skip
+    return {
+        "two tokens' effects interleave": v["stale"] == 1,
+        "an act took effect twice": v["twice"] == 1,
+        "an acknowledged effect is missing": v["gone"] == 1,
+    }
 
 
 FENCE = Model(
-    "fence", FENCE_NAMES, {}, _fence_rules, _fence_bad,
-    ("token check", "number check", "durable maximum", "same transaction"), 12,
-)  # fmt: skip
+    "fence",
+    FENCE_NAMES,
+    {},
+    _fence_rules,
+    _fence_bad,
+    ("token check", "number check", "durable maximum", "same transaction"),
+    12,
+)
 
 
 # ---- The lease: one holder, its clock and its messages; the coordinator lets another in once it may
@@ -192,18 +238,29 @@
         Rule("time", room, {"time": v["time"] + 1, "clock": v["clock"] + 1, "steady": after(1)}),
         # The clock drifts: it stands for a tick, and then not again for a lease's time.
         Rule("drift", z3.And(room, v["steady"] == 0), {"time": v["time"] + 1, "steady": n(TTL)}),
-        Rule("sleep", z3.ULT(v["time"], 14), {
-            "time": v["time"] + 3, "steady": after(3),
-            "clock": v["clock"] if "clock that runs on" in out else v["clock"] + 3,
-        }),  # fmt: skip
+        Rule(
+            "sleep",
+            z3.ULT(v["time"], 14),
+            {
+                "time": v["time"] + 3,
+                "steady": after(3),
+                "clock": v["clock"] if "clock that runs on" in out else v["clock"] + 3,
+            },
+        ),
         # The coordinator gets the message, and answers.
-        Rule("granted there", z3.And(v["wire"] == ASKED, z3.Or(v["mine"] == 0, z3.UGE(v["time"], v["ends"]))),
-             {"mine": v["asks"], "ends": v["time"] + TTL, "wire": n(0), "reply": n(YES)}),
-        Rule("renewed there", z3.And(v["wire"] == RENEWAL, v["mine"] == v["asks"]),
-             {"ends": v["time"] + TTL, "wire": n(0), "reply": n(YES)}),
+        Rule(
+            "granted there",
+            z3.And(v["wire"] == ASKED, z3.Or(v["mine"] == 0, z3.UGE(v["time"], v["ends"]))),
+            {"mine": v["asks"], "ends": v["time"] + TTL, "wire": n(0), "reply": n(YES)},
+        ),
+        Rule(
+            "renewed there",
+            z3.And(v["wire"] == RENEWAL, v["mine"] == v["asks"]),
+            {"ends": v["time"] + TTL, "wire": n(0), "reply": n(YES)},
+        ),
         Rule("gone there", z3.And(v["wire"] == RENEWAL, v["mine"] != v["asks"]), {"wire": n(0), "reply": n(NO)}),
         Rule("another is let in", z3.And(v["mine"] != 0, z3.UGE(v["time"], v["ends"])), {"mine": n(0)}),
-    ]  # fmt: skip
+    ]
     for event, wire in ((Event.ASK, ASKED), (Event.RENEW, RENEWAL)):
         rule = step(event, sent=v["clock"], wire=n(wire))
         if event is Event.ASK:
@@ -218,13 +275,15 @@
     rules.append(Rule("silent", z3.And(silent.when, z3.Or(v["wire"] != 0, v["reply"] != 0)), silent.then))
     back = step(Event.OURS, until=z3.If(v["until"] == 0, reckoned(v["clock"]), v["until"]))
     ours = v["mine"] != 0 if "start in the read-back" in out else v["mine"] == v["asks"]
-    rules.append(Rule("ours", z3.And(back.when, idle, ours, v["mine"] != 0, v["state"] == n(_NUMBER[State.DOUBTFUL])),
-                      back.then))  # fmt: skip
+    rules.append(
+        Rule("ours", z3.And(back.when, idle, ours, v["mine"] != 0, v["state"] == n(_NUMBER[State.DOUBTFUL])), back.then)
+    )
     if "own expiry" not in out:
         # Before it does anything the holder looks at its clock; what is out is void with it.
         expired = step(Event.EXPIRED, until=n(0), wire=n(0), reply=n(0))
-        rules.append(Rule("expired", z3.And(expired.when, v["until"] != 0, z3.UGE(v["clock"], v["until"])),
-                          expired.then))  # fmt: skip
+        rules.append(
+            Rule("expired", z3.And(expired.when, v["until"] != 0, z3.UGE(v["clock"], v["until"])), expired.then)
+        )
     return rules
 
 
@@ -232,15 +291,22 @@
     usable = z3.And(z3.Or([v["state"] == n(_NUMBER[state]) for state in USABLE]), v["until"] != 0)
     if "own expiry" not in out:
         usable = z3.And(usable, z3.ULT(v["clock"], v["until"]))
-    return {"it would act after another may have been let in":
-            z3.And(usable, z3.Or(v["mine"] != v["asks"], z3.UGE(v["time"], v["ends"])))}  # fmt: skip
+    return {
+        "it would act after another may have been let in": z3.And(
+            usable, z3.Or(v["mine"] != v["asks"], z3.UGE(v["time"], v["ends"]))
+        )
+    }
 
 
 LEASE = Model(
-    "lease", LEASE_NAMES, {}, _lease_rules, _lease_bad,
-    ("send-time counting", "margin", "clock that runs on", "own expiry",
-     "start in the read-back"), 10,
-)  # fmt: skip
+    "lease",
+    LEASE_NAMES,
+    {},
+    _lease_rules,
+    _lease_bad,
+    ("send-time counting", "margin", "clock that runs on", "own expiry", "start in the read-back"),
+    10,
+)
 
 
 # ---- Claims and hand-overs under two sessions: who believes in what, and whether anybody is reached in the end
@@ -257,34 +323,61 @@
     for i in "01":
         me, other = int(i) + 1, 2 - int(i)
         mine = v["owner"] == me
-        rules.append(Rule(
-            f"claim {i}", z3.And(v[f"w{i}"] == 0, v[f"b{i}"] == 0, v["owner"] == 0), {f"w{i}": n(CLAIMED)}
-        ))  # fmt: skip
+        rules.append(
+            Rule(f"claim {i}", z3.And(v[f"w{i}"] == 0, v[f"b{i}"] == 0, v["owner"] == 0), {f"w{i}": n(CLAIMED)})
+        )
         comes = v[f"w{i}"] == CLAIMED
         won = z3.And(comes, v["owner"] == 0, more)
         granted: Vars = {"owner": n(me), "token": v["token"] + 1, f"w{i}": n(0)}
         rules.append(Rule(f"claim {i} done and answered", won, {**granted, f"b{i}": v["token"] + 1}))
         rules.append(Rule(f"claim {i} done, answer lost", z3.And(won, fault), {**granted, "faults": v["faults"] + 1}))
         rules.append(Rule(f"claim {i} turned down", z3.And(comes, v["owner"] != 0), {f"w{i}": n(0)}))
-        rules.append(Rule(f"hand {i}", z3.And(v[f"w{i}"] == 0, v[f"b{i}"] != 0, fault), {
-            f"w{i}": n(HANDED), f"k{i}": v[f"b{i}"], f"b{i}": n(0), "faults": v["faults"] + 1,
-        }))  # fmt: skip
+        rules.append(
+            Rule(
+                f"hand {i}",
+                z3.And(v[f"w{i}"] == 0, v[f"b{i}"] != 0, fault),
+                {
+                    f"w{i}": n(HANDED),
+                    f"k{i}": v[f"b{i}"],
+                    f"b{i}": n(0),
+                    "faults": v["faults"] + 1,
+                },
+            )
+        )
         named = v["owner"] != 0 if "hand-over names its token" in out else z3.And(mine, v["token"] == v[f"k{i}"])
         hand = v[f"w{i}"] == HANDED
         # Taken from somebody else than the one who handed over, or from a later time of its own.
         robbed = z3.Or(v["owner"] != me, v["token"] != v[f"k{i}"])
-        rules.append(Rule(f"hand {i} done", z3.And(hand, named, more), {
-            "owner": n(other), "token": v["token"] + 1, f"w{i}": n(0), "robbed": z3.If(robbed, n(1), v["robbed"]),
-        }))  # fmt: skip
+        rules.append(
+            Rule(
+                f"hand {i} done",
+                z3.And(hand, named, more),
+                {
+                    "owner": n(other),
+                    "token": v["token"] + 1,
+                    f"w{i}": n(0),
+                    "robbed": z3.If(robbed, n(1), v["robbed"]),
+                },
+            )
+        )
         rules.append(Rule(f"hand {i} void", z3.And(hand, z3.Not(named)), {f"w{i}": n(0)}))
         # The sender gave up waiting and goes on while its message is still under way: it comes at any later step.
         rules.append(Rule(f"hand {i} lost", z3.And(hand, fault), {f"w{i}": n(0), "faults": v["faults"] + 1}))
-        rules.append(Rule(f"session {i} ends", z3.And(fault, z3.Or(mine, v[f"b{i}"] != 0)), {
-            "owner": z3.If(mine, n(0), v["owner"]), f"b{i}": n(0), "faults": v["faults"] + 1,
-        }))  # fmt: skip
+        rules.append(
+            Rule(
+                f"session {i} ends",
+                z3.And(fault, z3.Or(mine, v[f"b{i}"] != 0)),
+                {
+                    "owner": z3.If(mine, n(0), v["owner"]),
+                    f"b{i}": n(0),
+                    "faults": v["faults"] + 1,
+                },
+            )
+        )
         if "read-back" not in out:
-            rules.append(Rule(f"look {i}", z3.And(mine, v[f"b{i}"] != v["token"], v[f"w{i}"] != CLAIMED),
-                              {f"b{i}": v["token"]}))  # fmt: skip
+            rules.append(
+                Rule(f"look {i}", z3.And(mine, v[f"b{i}"] != v["token"], v[f"w{i}"] != CLAIMED), {f"b{i}": v["token"]})
+            )
         rules.append(Rule(f"look {i}: not ours", z3.And(z3.Not(mine), v[f"b{i}"] != 0), {f"b{i}": n(0)}))
     rules.append(Rule("rest", z3.BoolVal(True), {}))
     return rules
@@ -297,10 +390,11 @@
     can_look = z3.BoolVal("read-back" not in out)
     return {
         "nobody is reached though no fault is left": z3.And(
-            quiet, z3.Not(holds), z3.Not(can_claim), v["owner"] != 0, z3.Not(can_look)),
+            quiet, z3.Not(holds), z3.Not(can_claim), v["owner"] != 0, z3.Not(can_look)
+        ),
         "a late hand-over takes a shard from its newer owner": v["robbed"] == 1,
         "two hold one token": z3.And(v["b0"] != 0, v["b0"] == v["b1"]),
-    }  # fmt: skip
+    }
 
 
 CLAIM = Model("claim", CLAIM_NAMES, {}, _claim_rules, _claim_bad, ("read-back", "hand-over names its token"), 12)
--- a/lapishaven/lab/recordmodel.py
+++ b/lapishaven/lab/recordmodel.py
@@ -27,8 +27,9 @@
     """Whether the table gives this verdict."""
     cases = [
         z3.And(v["row"] == _row(standing), own == mine)
-        for (standing, asked, mine), (found, _) in TABLE.items() if asked is event and found is verdict
-    ]  # fmt: skip
+        for (standing, asked, mine), (found, _) in TABLE.items()
+        if asked is event and found is verdict
+    ]
     return z3.Or(cases) if cases else z3.BoolVal(False)
 
 
@@ -65,9 +66,15 @@
         step("end", RUNS, yes, {f"p{i}": n(ENDED)})
         step("end badly", RUNS, yes, {f"p{i}": n(FAILS)})
         may = _judged(v, Event.FAIL, own, Verdict.DO)
-        step("note the failure", FAILS, yes, {
-            f"p{i}": n(IDLE), "row": z3.If(may, _row(Standing.SPENT), v["row"]),
-        })  # fmt: skip
+        step(
+            "note the failure",
+            FAILS,
+            yes,
+            {
+                f"p{i}": n(IDLE),
+                "row": z3.If(may, _row(Standing.SPENT), v["row"]),
+            },
+        )
         may = _judged(v, Event.FINISH, own, Verdict.DO)
         again = _judged(v, Event.FINISH, own, Verdict.KEPT)
         charged = v["charges"] + z3.If(may, n(1), n(0))
@@ -92,19 +99,36 @@
         if "own start" in out:
             may = v["row"] == _row(Standing.INTENDED)
         step("void", VOIDS, yes, {f"p{i}": n(IDLE), "row": z3.If(may, _row(Standing.NONE), v["row"])})
-        found.append(Rule(f"crash {i}", z3.ULT(v["fresh"], 3 + CRASHES), {
-            f"p{i}": n(IDLE), f"s{i}": v["fresh"], "fresh": v["fresh"] + 1,
-        }))  # fmt: skip
+        found.append(
+            Rule(
+                f"crash {i}",
+                z3.ULT(v["fresh"], 3 + CRASHES),
+                {
+                    f"p{i}": n(IDLE),
+                    f"s{i}": v["fresh"],
+                    "fresh": v["fresh"] + 1,
+                },
+            )
+        )
     return found
 
 
 def bad(v: Vars, out: frozenset[str]) -> dict[str, Var]:
     return {
-        "it ran twice": z3.UGE(v["runs"], 2), "it was charged twice": z3.UGE(v["charges"], 2),
-        "a success that the file does not hold": v["hollow"] == 1, "a run was refused": v["lied"] == 1,
-    }  # fmt: skip
-
-
-GUARDS = ("look before intent", "intent before run", "durable before reply", "one transaction", "kept on repeat",
-          "own start", "a run is never refused")  # fmt: skip
+        "it ran twice": z3.UGE(v["runs"], 2),
+        "it was charged twice": z3.UGE(v["charges"], 2),
+        "a success that the file does not hold": v["hollow"] == 1,
+        "a run was refused": v["lied"] == 1,
+    }
+
+
+GUARDS = (
+    "look before intent",
+    "intent before run",
+    "durable before reply",
+    "one transaction",
+    "kept on repeat",
+    "own start",
+    "a run is never refused",
+)
 RECORD = Model("record", NAMES, {"s0": 1, "s1": 2, "fresh": 3}, rules, bad, GUARDS, 13)
--- a/lapishaven/lab/script.py
+++ b/lapishaven/lab/script.py
@@ -86,9 +86,7 @@
     return _number(value.removesuffix("%"), line)
 
 
-def _steps(
-    at: float, verb: str, words: list[str], names: Sequence[str], random: Random, line: str
-) -> list[Step]:  # fmt: skip
+def _steps(at: float, verb: str, words: list[str], names: Sequence[str], random: Random, line: str) -> list[Step]:
     if verb == "kill":
         back = _option(words, "back", line)
         return [Step(at, "kill", _servers(words, names, random, line), span=back)]
--- a/lapishaven/lab/simfleet.py
+++ b/lapishaven/lab/simfleet.py
@@ -103,4 +103,3 @@
     def moves(self, before: dict[Shard, list[str]]) -> int:
         now = self.owners()
         return sum(before[shard] != now[shard] for shard in self.shards)
-
--- a/lapishaven/lab/site.py
+++ b/lapishaven/lab/site.py
@@ -43,11 +43,14 @@
     part = 1.0 / len(order)
     return {
         kind.name: ClassRule(
-            kind.deadline, "safe" if kind.safe else "once", (kind.work.least + kind.work.most) / 2,
-            rank=order.index(kind) * part, rank_span=part * 0.999,
+            kind.deadline,
+            "safe" if kind.safe else "once",
+            (kind.work.least + kind.work.most) / 2,
+            rank=order.index(kind) * part,
+            rank_span=part * 0.999,
         )
         for kind in kinds
-    }  # fmt: skip
+    }
 
 
 def box(random: Random) -> Box:
@@ -56,43 +59,84 @@
     return Box(speed=speed)
 
 
-def settings(
-    of: Box, servers: int, callers: int, cold: bool, kinds: Sequence[Kind] = KINDS
-) -> dict[str, Any]:  # fmt: skip
+def settings(of: Box, servers: int, callers: int, cold: bool, kinds: Sequence[Kind] = KINDS) -> dict[str, Any]:
     """The settings object that a match server's configuration holds."""
     memory = of.memory_runs * of.cores * 16.0 * 30.0
     return {
-        "callers": {"marks-retry": True}, "customers": [], "peers-total": servers, "value-by": "request",
+        "callers": {"marks-retry": True},
+        "customers": [],
+        "peers-total": servers,
+        "value-by": "request",
         "extra": {
-            "below": "silent", "calls-by-class": [False] * len(kinds), "class-skip-worth": [0.0] * len(kinds),
-            "cold": cold, "cores": of.cores, "deep-checks": True, "dep-window": 5.0, "fair-calls": 0.0,
-            "fresh": 0.0, "gauges": list(GAUGES), "halt": "suspend", "idle": 15.0, "key-kb": 0.0, "linger": 0.2,
-            "memory-kb": memory, "passes-deadline": False, "registry-follows": True, "run-factor": 16.0,
-            "said-for": 1.0, "say": "silent", "tells-gone": True, "upstreams": callers,
+            "below": "silent",
+            "calls-by-class": [False] * len(kinds),
+            "class-skip-worth": [0.0] * len(kinds),
+            "cold": cold,
+            "cores": of.cores,
+            "deep-checks": True,
+            "dep-window": 5.0,
+            "fair-calls": 0.0,
+            "fresh": 0.0,
+            "gauges": list(GAUGES),
+            "halt": "suspend",
+            "idle": 15.0,
+            "key-kb": 0.0,
+            "linger": 0.2,
+            "memory-kb": memory,
+            "passes-deadline": False,
+            "registry-follows": True,
+            "run-factor": 16.0,
+            "said-for": 1.0,
+            "say": "silent",
+            "tells-gone": True,
+            "upstreams": callers,
         },
         "limits": {"max-retry-after": 1.0, "retry-after": True},
         "obligations": {
-            "answer-slack": 0.1, "cold": of.cold_span, "cold-from": of.cold_from, "drain-grace": 2.0,
-            "fall-multiple": of.fall_multiple, "tip-after": of.fall_span,
+            "answer-slack": 0.1,
+            "cold": of.cold_span,
+            "cold-from": of.cold_from,
+            "drain-grace": 2.0,
+            "fall-multiple": of.fall_multiple,
+            "tip-after": of.fall_span,
         },
         "profiles": [
             {
-                "name": kind.name, "aim": kind.aim, "deadline": kind.deadline, "credit": kind.worth,
-                "effect": "free" if kind.safe else "single_shot", "late-worth": 0.2, "window": 5.0,
+                "name": kind.name,
+                "aim": kind.aim,
+                "deadline": kind.deadline,
+                "credit": kind.worth,
+                "effect": "free" if kind.safe else "single_shot",
+                "late-worth": 0.2,
+                "window": 5.0,
             }
             for kind in kinds
         ],
-    }  # fmt: skip
+    }
 
 
 def configuration(
-    name: str, listen: tuple[str, int], interpreter: tuple[str, int], catalog: tuple[str, int], seed: int,
-    of: Box, servers: int, callers: int, cold: bool, stop_ms: int = STOP_MS,
-) -> str:  # fmt: skip
+    name: str,
+    listen: tuple[str, int],
+    interpreter: tuple[str, int],
+    catalog: tuple[str, int],
+    seed: int,
+    of: Box,
+    servers: int,
+    callers: int,
+    cold: bool,
+    stop_ms: int = STOP_MS,
+) -> str:
     """The configuration file of one match server."""
-    return json.dumps({
-        "name": name, "listen": f"{listen[0]}:{listen[1]}", "vm": f"{interpreter[0]}:{interpreter[1]}",
-        "directory": f"{catalog[0]}:{catalog[1]}", "seed": f"{seed:016x}", "stop_ms": stop_ms,
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-        "settings": settings(of, servers, callers, cold),
-    })  # fmt: skip
+    return json.dumps(
+        {
+            "name": name,
+            "listen": f"{listen[0]}:{listen[1]}",
+            "vm": f"{interpreter[0]}:{interpreter[1]}",
+            "directory": f"{catalog[0]}:{catalog[1]}",
+            "seed": f"{seed:016x}",
+            "stop_ms": stop_ms,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "settings": settings(of, servers, callers, cold),
+        }
+    )
--- a/lapishaven/lab/spreadcases.py
+++ b/lapishaven/lab/spreadcases.py
@@ -97,29 +97,46 @@
 
 
 CASES = {
-    "0.7 of capacity": Case(0.7, 8.0), "0.9 of capacity": Case(0.9, 8.0), "1.0 of capacity": Case(1.0, 8.0),
-    "1.1 of capacity": Case(1.1, 8.0), "a fifth killed, back cold": Case(0.6, 12.0, _killed),
-    "98% replaced in 37 s": Case(0.4, 44.0, _replaced), "one ten times slower": Case(0.8, 12.0, _slow),
-    "one fails at once": Case(0.8, 10.0, _fails("error")), "one refuses at once": Case(0.8, 10.0, _fails("refuse")),
-    "a fifth stopped for 8 s": Case(0.6, 16.0, _stopped), "one says it is empty": Case(0.8, 8.0, _lies(0.0)),
-    "one says it is full": Case(0.8, 8.0, _lies(60.0)), "half cut off from half": Case(0.4, 10.0, _cut),
-    "all news 2 s late": Case(0.8, 8.0, late=2.0), "all fronts restarted": Case(0.8, 8.0, _restarted),
+    "0.7 of capacity": Case(0.7, 8.0),
+    "0.9 of capacity": Case(0.9, 8.0),
+    "1.0 of capacity": Case(1.0, 8.0),
+    "1.1 of capacity": Case(1.1, 8.0),
+    "a fifth killed, back cold": Case(0.6, 12.0, _killed),
+    "98% replaced in 37 s": Case(0.4, 44.0, _replaced),
+    "one ten times slower": Case(0.8, 12.0, _slow),
+    "one fails at once": Case(0.8, 10.0, _fails("error")),
+    "one refuses at once": Case(0.8, 10.0, _fails("refuse")),
+    "a fifth stopped for 8 s": Case(0.6, 16.0, _stopped),
+    "one says it is empty": Case(0.8, 8.0, _lies(0.0)),
+    "one says it is full": Case(0.8, 8.0, _lies(60.0)),
+    "half cut off from half": Case(0.4, 10.0, _cut),
+    "all news 2 s late": Case(0.8, 8.0, late=2.0),
+    "all fronts restarted": Case(0.8, 8.0, _restarted),
     "one new beside the loaded": Case(0.8, 10.0, _newcomer, even=True),
-    "fronts differ a hundredfold": Case(0.8, 8.0, differ=100.0), "a call in 8 s a front": Case(0.8, 8.0, thin=True),
-}  # fmt: skip
+    "fronts differ a hundredfold": Case(0.8, 8.0, differ=100.0),
+    "a call in 8 s a front": Case(0.8, 8.0, thin=True),
+}
 
 
 def build(
-    case: Case, policy: str, fronts: int, processes: int, seed: int, *, slots: int = 4, work: float = 0.3,
+    case: Case,
+    policy: str,
+    fronts: int,
+    processes: int,
+    seed: int,
+    *,
+    slots: int = 4,
+    work: float = 0.3,
     rules: Rules | None = None,
-) -> Sim:  # fmt: skip
+) -> Sim:
     """The case, ready to be run."""
     random = Random(seed * 31 + 7)
     speeds = [1.0 if case.even else random.choice(SPEEDS) for _ in range(processes)]
     if case.thin:
         fronts = round(8.0 * case.load * slots * sum(speeds) / work)
-    sim = Sim(policy, fronts, speeds, case.load, seed, slots=slots, work=work, rules=rules, late=case.late,
-              differ=case.differ)  # fmt: skip
+    sim = Sim(
+        policy, fronts, speeds, case.load, seed, slots=slots, work=work, rules=rules, late=case.late, differ=case.differ
+    )
     sim.measured_from = FROM
     case.faults(sim)
     return sim
@@ -127,7 +144,7 @@
 
 def play(
     name: str, policy: str, fronts: int, processes: int, seed: int, seconds: float | None = None, **how: Any
-) -> dict[str, Any]:  # fmt: skip
+) -> dict[str, Any]:
     """``seconds``: for as long in place of the case's own span."""
     sim = build(CASES[name], policy, fronts, processes, seed, **how)
     sim.run(seconds or CASES[name].seconds)
--- a/lapishaven/lab/spreadsim.py
+++ b/lapishaven/lab/spreadsim.py
@@ -70,8 +70,15 @@
     def news(self, now: float) -> News:
         self.number += 1
         said = self.open if self.lie is None else int(self.lie)
-        return News(self.start, self.number, said, float(said), self.slots, self.speed * self.warm(now),
-                    self.warm(now) * (1 - self.failing))  # fmt: skip
+        return News(
+            self.start,
+            self.number,
+            said,
+            float(said),
+            self.slots,
+            self.speed * self.warm(now),
+            self.warm(now) * (1 - self.failing),
+        )
 
 
 class Front:
@@ -177,22 +184,33 @@
     """``speeds``: one for each process. ``load``: of the capacity. ``differ``: so many times fronts' rates differ."""
 
     def __init__(
-        self, policy: str, fronts: int, speeds: Sequence[float], load: float, seed: int, *, slots: int = 4,
-        work: float = 0.3, rules: Rules | None = None, late: float = 0.0, differ: float = 1.0, aim: float = 1.5,
-    ) -> None:  # fmt: skip
+        self,
+        policy: str,
+        fronts: int,
+        speeds: Sequence[float],
+        load: float,
+        seed: int,
+        *,
+        slots: int = 4,
+        work: float = 0.3,
+        rules: Rules | None = None,
+        late: float = 0.0,
+        differ: float = 1.0,
+        aim: float = 1.5,
+    ) -> None:
         self.policy, self.rules, self.seed = policy, rules or Rules(), seed
         self.now, self.work, self.late, self.aim = 0.0, work, late, aim
         self.random = Random(seed * 7 + 1)
         self.arrivals = Random(seed)
-        self.processes = {f"p{n}": Process(f"p{n}", slots, speed, seed * 100_000 + n)
-                          for n, speed in enumerate(speeds)}  # fmt: skip
+        self.processes = {f"p{n}": Process(f"p{n}", slots, speed, seed * 100_000 + n) for n, speed in enumerate(speeds)}
         self.names = list(self.processes)
         self.listed = list(self.processes.values())
         self.capacity = slots * sum(speeds)
         self.rate = load * self.capacity / work
         parts = [differ ** self.arrivals.random() for _ in range(fronts)]
-        self.fronts = [Front(self, n, self.rate * part / sum(parts), Random(f"{seed}/{n}"))
-                       for n, part in enumerate(parts)]  # fmt: skip
+        self.fronts = [
+            Front(self, n, self.rate * part / sum(parts), Random(f"{seed}/{n}")) for n, part in enumerate(parts)
+        ]
         self.weights = parts
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._order = 0
@@ -436,9 +454,13 @@
             return round(spans[min(len(spans) - 1, int(part * len(spans)))], 4)
 
         return {
-            "policy": self.policy, "calls": len(spans), "p50": p(0.5), "p99": p(0.99),
-            "on_time": round(sum(s <= self.aim for s in spans) / len(spans), 4), "busiest": round(self.busiest(), 3),
+            "policy": self.policy,
+            "calls": len(spans),
+            "p50": p(0.5),
+            "p99": p(0.99),
+            "on_time": round(sum(s <= self.aim for s in spans) / len(spans), 4),
+            "busiest": round(self.busiest(), 3),
             "idle": round(self.idle / (span * len(self.listed)), 5),
             "probes": round(self.counts["probes"] / self.counts["arrivals"], 2),
             "tries": round(1 + self.counts["second tries"] / self.counts["arrivals"], 3),
-        }  # fmt: skip
+        }
--- a/lapishaven/lab/trial.py
+++ b/lapishaven/lab/trial.py
@@ -110,9 +110,11 @@
 
 
 async def _drive(
-    plan: list[tuple[float, site.Kind, bytes]], start: float, calls: list[Callable[[str, bytes], Awaitable[Outcome]]],
+    plan: list[tuple[float, site.Kind, bytes]],
+    start: float,
+    calls: list[Callable[[str, bytes], Awaitable[Outcome]]],
     random: Random,
-) -> list[Asked]:  # fmt: skip
+) -> list[Asked]:
     loop = asyncio.get_running_loop()
 
     async def one(each: Asked, call: Callable[[str, bytes], Awaitable[Outcome]]) -> None:
@@ -145,7 +147,7 @@
 
 def _figures(
     spec: Spec, rate: float, steps: list[Step], asked: list[Asked], tap: Tap, fleet: dict[str, Any], start: float
-) -> dict[str, Any]:  # fmt: skip
+) -> dict[str, Any]:
     until = start + spec.seconds
     by_body = {each.body: each for each in asked}
     counted = [each for each in asked if start <= each.at < until]
@@ -165,15 +167,19 @@
     load = [each.at for each in tap.tries] + tap.connects
     surge = max((step.factor for step in steps if step.what == "surge"), default=1.0)
     wrong = sum(
-        1 for each in asked
+        1
+        for each in asked
         if each.outcome is not None and each.outcome.served and getattr(each.outcome, "body", b"") != result(each.body)
-    )  # fmt: skip
+    )
     outcomes = Counter(type(each.outcome).__name__.lower() if each.outcome else "none" for each in counted)
     asked_worth = sum(each.kind.worth for each in counted)
     commit_worth = sum(each.kind.worth for each in counted if not each.kind.safe)
     spans = sorted(each.ended - each.at for each in counted if each.outcome is not None and each.outcome.served)
     return {
-        "spec": asdict(spec), "rate": round(rate, 1), "calls": len(counted), "outcomes": dict(outcomes),
+        "spec": asdict(spec),
+        "rate": round(rate, 1),
+        "calls": len(counted),
+        "outcomes": dict(outcomes),
         "worth": round(sum(map(worth, counted)) / asked_worth, 4),
         "commit_worth": round(sum(worth(e) for e in counted if not e.kind.safe) / commit_worth, 4),
         "storm": round(most_in_a_second(load, start, until) / (rate * surge), 3),
@@ -182,18 +188,25 @@
         "storm_connects": most_in_a_second(tap.connects, start, until),
         "storm_tries": round(most_in_a_second([t.at for t in tap.tries], start, until) / (rate * surge), 3),
         "tries_per_call": round(len(tap.tries) / max(first, 1), 3),
-        "late_tries": late, "unmarked": unmarked, "no_result": sum(each.outcome is None for each in asked),
-        "commits_twice": sum(starts[each.body.decode()] > 1 for each in commits), "commits": len(commits),
+        "late_tries": late,
+        "unmarked": unmarked,
+        "no_result": sum(each.outcome is None for each in asked),
+        "commits_twice": sum(starts[each.body.decode()] > 1 for each in commits),
+        "commits": len(commits),
         # A commit said to be refused or failed that ran all the same would be charged without anybody's knowing.
         "commits_denied_but_ran": sum(
-            starts[e.body.decode()] > 0 for e in commits
+            starts[e.body.decode()] > 0
+            for e in commits
             if e.outcome is not None and not e.outcome.served and not isinstance(e.outcome, Uncertain)
         ),
-        "wrong_body": wrong, "most_open": tap.most_open, "answers_twice": tap.answers_twice,
+        "wrong_body": wrong,
+        "most_open": tap.most_open,
+        "answers_twice": tap.answers_twice,
         "p50_ms": round(spans[len(spans) // 2] * 1000) if spans else None,
         "p99_ms": round(spans[int(len(spans) * 0.99)] * 1000) if spans else None,
-        "crashes": fleet["crashes"], "events": fleet["events"],
-    }  # fmt: skip
+        "crashes": fleet["crashes"],
+        "events": fleet["events"],
+    }
 
 
 def main(argument: str) -> None:
--- a/lapishaven/ownership/agent.py
+++ b/lapishaven/ownership/agent.py
@@ -80,10 +80,16 @@
     """``start`` it, ask ``leave`` and wait with ``join``. ``told`` hears every event, from two threads."""
 
     def __init__(
-        self, member: Member, coordinator: Coordinator, receiver: Receiver, duties: Sequence[Duty], clock: Clock,
+        self,
+        member: Member,
+        coordinator: Coordinator,
+        receiver: Receiver,
+        duties: Sequence[Duty],
+        clock: Clock,
         told: Callable[[str, Mapping[str, Any]], None] = lambda what, facts: None,
-        probe: Probe = lambda point: None, spare: Coordinator | None = None,
-    ) -> None:  # fmt: skip
+        probe: Probe = lambda point: None,
+        spare: Coordinator | None = None,
+    ) -> None:
         self.member, self.receiver, self.clock, self._probe = member, receiver, clock, probe
         self.duties = {duty.name: duty for duty in duties}
         self.driver = Driver(member, coordinator, clock, self._notice, probe)
@@ -118,8 +124,14 @@
 
     # ---- Notices
     def _notice(self, notice: Notice) -> None:
-        count = {"gained": "gained", "lost": "lost", "handed": "handed", "doubt": "doubts", "joined": "joins",
-                 "out": "outs"}.get(notice.what)  # fmt: skip
+        count = {
+            "gained": "gained",
+            "lost": "lost",
+            "handed": "handed",
+            "doubt": "doubts",
+            "joined": "joins",
+            "out": "outs",
+        }.get(notice.what)
         if count is not None:
             setattr(self.tally, count, getattr(self.tally, count) + 1)
         facts: dict[str, Any] = {}
@@ -162,8 +174,9 @@
             standing.due = float("inf")
             return
         try:
-            wait = duty.step(shard[1], lambda effect, detail: self._act(shard, standing, effect, detail),
-                             self.clock.now())  # fmt: skip
+            wait = duty.step(
+                shard[1], lambda effect, detail: self._act(shard, standing, effect, detail), self.clock.now()
+            )
         except NotOwner:
             wait = IDLE
         except Behind:
--- a/lapishaven/ownership/command.py
+++ b/lapishaven/ownership/command.py
@@ -42,11 +42,16 @@
 def members(path: str, as_json: bool) -> int:
     view = _view(path)
     rows = [
-        {"name": seen.card.name, "standing": seen.card.standing.value, "weight": seen.card.weight,
-         "shards": sum(owned.session == seen.session for owned in view.owners.values()), "session": seen.session,
-         "start": seen.card.start}
+        {
+            "name": seen.card.name,
+            "standing": seen.card.standing.value,
+            "weight": seen.card.weight,
+            "shards": sum(owned.session == seen.session for owned in view.owners.values()),
+            "session": seen.session,
+            "start": seen.card.start,
+        }
         for seen in view.members
-    ]  # fmt: skip
+    ]
     _print(rows, as_json)
     return 0
 
@@ -59,10 +64,15 @@
     rows = []
     for shard in shards:
         owned = view.owners.get(shard)
-        rows.append({
-            "duty": shard[0], "shard": shard[1], "owner": names.get(owned.session, "?") if owned else "nobody",
-            "token": owned.token if owned else 0, "receiver_holds": view.marks.get(shard, 0),
-        })  # fmt: skip
+        rows.append(
+            {
+                "duty": shard[0],
+                "shard": shard[1],
+                "owner": names.get(owned.session, "?") if owned else "nobody",
+                "token": owned.token if owned else 0,
+                "receiver_holds": view.marks.get(shard, 0),
+            }
+        )
     _print(rows, as_json)
     return 0 if all(shard in view.owners for shard in shards) else 1
 
@@ -123,8 +133,9 @@
     book = _book(path)
     found = book.read(
         "select position, duty, shard, token, number, effect, detail, answer from fence_log"
-        " where ? is null or duty = ? order by position desc limit ?", (duty, duty, last),
-    )  # fmt: skip
+        " where ? is null or duty = ? order by position desc limit ?",
+        (duty, duty, last),
+    )
     names = ("position", "duty", "shard", "token", "number", "effect", "detail", "answer")
     _print([dict(zip(names, row, strict=True)) for row in reversed(found)], as_json)
     book.close()
@@ -133,8 +144,12 @@
 
 def read_book(book: Book) -> str | None:
     """The first thing in a book that does not hold."""
-    rows = [Row((duty, shard), token, number) for duty, shard, token, number in
-            book.read("select duty, shard, token, number from fence_log order by position")]  # fmt: skip
+    rows = [
+        Row((duty, shard), token, number)
+        for duty, shard, token, number in book.read(
+            "select duty, shard, token, number from fence_log order by position"
+        )
+    ]
     marks = {(row[0], row[1]): Mark(*row[2:]) for row in book.read("select * from fence_mark")}
     served = book.read(
         "select c.team, coalesce(s.period, -1), c.count, c.worth from consumption c"
@@ -174,4 +189,3 @@
     book.close()
     print(f"rollout {name}: ordered, at most {at_once} at once and {share:.0%} of the capacity")
     return 0
-
--- a/lapishaven/ownership/coordinators/etcd.py
+++ b/lapishaven/ownership/coordinators/etcd.py
@@ -93,8 +93,9 @@
 
     # ---- The port
     def _card(self, session: int, card: Card) -> str:
-        return json.dumps({"session": session, "start": card.start, "standing": card.standing.value,
-                           "weight": card.weight})  # fmt: skip
+        return json.dumps(
+            {"session": session, "start": card.start, "standing": card.standing.value, "weight": card.weight}
+        )
 
     def join(self, card: Card, ttl: float) -> Joined:
         session = int(self._post("/lease/grant", {"TTL": str(max(1, math.ceil(ttl))), "ID": "0"})["ID"])
@@ -146,9 +147,11 @@
                 value = _text(kv.get("value", ""))
                 if kind == "member":
                     card = json.loads(value)
-                    members.append(Seen(
-                        int(card["session"]), Card(rest, card["start"], Standing(card["standing"]), card["weight"])
-                    ))  # fmt: skip
+                    members.append(
+                        Seen(
+                            int(card["session"]), Card(rest, card["start"], Standing(card["standing"]), card["weight"])
+                        )
+                    )
                 elif kind in ("owner", "mark"):
                     duty, _, number = rest.rpartition("/")
                     if kind == "owner":
--- a/lapishaven/ownership/coordinators/sqlite.py
+++ b/lapishaven/ownership/coordinators/sqlite.py
@@ -182,9 +182,7 @@
             if heir is None:
                 base.execute("delete from owner where duty = ? and shard = ?", shard)
             else:
-                base.execute(
-                    "update owner set token = ?, session = ? where duty = ? and shard = ?", (new, to, *shard)
-                )
+                base.execute("update owner set token = ?, session = ? where duty = ? and shard = ?", (new, to, *shard))
         return True
 
     def mark(self, session: int, shard: Shard, token: int, held: int) -> bool:
--- a/lapishaven/ownership/driver.py
+++ b/lapishaven/ownership/driver.py
@@ -60,9 +60,13 @@
     """``lock`` guards the member; ``told`` is called on this thread with each notice, without the lock."""
 
     def __init__(
-        self, member: Member, coordinator: Coordinator, clock: Clock, told: Callable[[Notice], None],
+        self,
+        member: Member,
+        coordinator: Coordinator,
+        clock: Clock,
+        told: Callable[[Notice], None],
         probe: Callable[[str], None] = lambda point: None,
-    ) -> None:  # fmt: skip
+    ) -> None:
         super().__init__(name="ownership", daemon=True)
         self.member, self.coordinator, self.clock, self._told, self._probe = member, coordinator, clock, told, probe
         self.lock = threading.Lock()
--- a/lapishaven/ownership/duties/budgets.py
+++ b/lapishaven/ownership/duties/budgets.py
@@ -146,7 +146,7 @@
 
 def tell(
     base: sqlite3.Connection, contract: str, member: str, need: float, seen: int, adopted: int, spill: float = 0.0
-) -> None:  # fmt: skip
+) -> None:
     """A member's need of a contract, a count that grows each time, so that the dead are told from the living, the
     round that it goes by, and what its purse spills."""
     base.execute("insert or replace into budget_need values (?, ?, ?, ?, ?)", (contract, member, need, seen, adopted))
--- a/lapishaven/ownership/duties/periods.py
+++ b/lapishaven/ownership/duties/periods.py
@@ -36,6 +36,7 @@
 """
 WORTH = 1000  # worth is kept in thousandths, as an integer
 
+
 def shard_of(team: str, shards: int) -> int:
     """The shard that closes a team's periods; the same in every process."""
     return zlib.crc32(team.encode()) % shards
@@ -63,10 +64,19 @@
         """All rows that are to be put in the book; the same again until ``kept``."""
         for (team, cls, period), count in sorted(self._open.items()):
             self._number += 1
-            self._rows.append((
-                self.server, self.start, self._number, team, cls, period, shard_of(team, self.shards), count,
-                self._worth[team, cls, period],
-            ))  # fmt: skip
+            self._rows.append(
+                (
+                    self.server,
+                    self.start,
+                    self._number,
+                    team,
+                    cls,
+                    period,
+                    shard_of(team, self.shards),
+                    count,
+                    self._worth[team, cls, period],
+                )
+            )
         self._open.clear()
         self._worth.clear()
         return list(self._rows)
@@ -124,9 +134,14 @@
     name = "periods"
 
     def __init__(
-        self, shards: int, period: float, grace: float, wall: Callable[[], float],
-        closed: Callable[[int], int | None], oldest: Callable[[int], int | None],
-    ) -> None:  # fmt: skip
+        self,
+        shards: int,
+        period: float,
+        grace: float,
+        wall: Callable[[], float],
+        closed: Callable[[int], int | None],
+        oldest: Callable[[int], int | None],
+    ) -> None:
         self.shards, self._period, self._grace, self._wall = shards, period, grace, wall
         self._closed, self._oldest = closed, oldest
 
--- a/lapishaven/ownership/duties/restart.py
+++ b/lapishaven/ownership/duties/restart.py
@@ -67,10 +67,13 @@
 def finished(places: Sequence[Place], reports: Mapping[str, tuple[str, bool]]) -> list[str]:
     """Permitted members that are back: ready, as another start of their process."""
     return [
-        place.name for place in places
-        if place.stage is Stage.PERMITTED and (found := reports.get(place.name)) is not None
-        and found[1] and found[0] != place.start
-    ]  # fmt: skip
+        place.name
+        for place in places
+        if place.stage is Stage.PERMITTED
+        and (found := reports.get(place.name)) is not None
+        and found[1]
+        and found[0] != place.start
+    ]
 
 
 @dataclass(slots=True)
@@ -141,20 +144,27 @@
     shards = 1
 
     def __init__(
-        self, read: Read, token: Callable[[], int], serving: Callable[[], Mapping[str, float]], every: float = 0.2,
-    ) -> None:  # fmt: skip
+        self,
+        read: Read,
+        token: Callable[[], int],
+        serving: Callable[[], Mapping[str, float]],
+        every: float = 0.2,
+    ) -> None:
         self._read, self._token, self._serving, self._every = read, token, serving, every
 
     def step(self, number: int, act: Callable[[str, Any], Any], now: float) -> float:
         serving = self._serving()
-        reports = {name: (start, bool(ready) and name in serving, bool(obeys)) for name, start, ready, obeys in
-                   self._read("select name, start, ready, obeys from restart_report")}  # fmt: skip
+        reports = {
+            name: (start, bool(ready) and name in serving, bool(obeys))
+            for name, start, ready, obeys in self._read("select name, start, ready, obeys from restart_report")
+        }
         orders = self._read("select rollout, at_once, share from restart_rollout order by number")
         for rollout, at_once, share in orders:
             places = self._places(rollout)
             if not places:
-                if obeying := [(name, weight) for name, weight in sorted(serving.items())
-                               if name in reports and reports[name][2]]:  # fmt: skip
+                if obeying := [
+                    (name, weight) for name, weight in sorted(serving.items()) if name in reports and reports[name][2]
+                ]:
                     act("enlist", {"rollout": rollout, "members": obeying})
                     return 0.0
                 continue  # nobody there obeys
@@ -165,8 +175,14 @@
                 continue
             away = frozenset(place.name for place in places if not reports.get(place.name, ("", False, False))[1])
             if chosen := choose(places, away, at_once, share):
-                act("permit", {"rollout": rollout, "token": self._token(),
-                               "members": [(name, reports[name][0]) for name in chosen]})  # fmt: skip
+                act(
+                    "permit",
+                    {
+                        "rollout": rollout,
+                        "token": self._token(),
+                        "members": [(name, reports[name][0]) for name in chosen],
+                    },
+                )
             break
         return self._every
 
--- a/lapishaven/ownership/part.py
+++ b/lapishaven/ownership/part.py
@@ -58,9 +58,15 @@
     when a rolling restart permits it to leave."""
 
     def __init__(
-        self, settings: Ownership, name: str, contracts: list[Contract] | None, classes: Sequence[str] = (),
-        log: Callable[[str], None] | None = None, clock: Clock | None = None, go: Callable[[], None] = way_out,
-    ) -> None:  # fmt: skip
+        self,
+        settings: Ownership,
+        name: str,
+        contracts: list[Contract] | None,
+        classes: Sequence[str] = (),
+        log: Callable[[str], None] | None = None,
+        clock: Clock | None = None,
+        go: Callable[[], None] = way_out,
+    ) -> None:
         self.settings, self.name, self._classes, self._go = settings, name, classes, go
         self._log = log or (lambda text: print(text, file=sys.stderr, flush=True))
         self._clock = clock or SystemClock()
@@ -81,9 +87,14 @@
         card = Card(name, self.start_id, weight=settings.weight)
         member = Member(card, shards, settings.rules, Random(self.start_id))
         self.agent = Agent(
-            member, coordinator(settings, self._clock), self._book, duties, self._clock, self._event,
+            member,
+            coordinator(settings, self._clock),
+            self._book,
+            duties,
+            self._clock,
+            self._event,
             spare=coordinator(settings, self._clock),
-        )  # fmt: skip
+        )
         self._strain = Strain(settings.overload) if settings.overload is not None else None
         self._answers = self._refusals = 0  # so far; written by the event path, read by the errands
         self._late = False
@@ -99,11 +110,20 @@
         if self.settings.periods is not None:
             count, length, grace = self.settings.periods
             self._collector = periods.Collector(self.name, self.start_id, count, length)
-            duties.append(periods.Periods(
-                count, length, grace, self._clock.wall,
-                lambda shard: self._book.read("select max(period) from period_closed where shard = ?", (shard,))[0][0],
-                lambda shard: self._book.read("select min(period) from consumption where shard = ?", (shard,))[0][0],
-            ))  # fmt: skip
+            duties.append(
+                periods.Periods(
+                    count,
+                    length,
+                    grace,
+                    self._clock.wall,
+                    lambda shard: self._book.read("select max(period) from period_closed where shard = ?", (shard,))[0][
+                        0
+                    ],
+                    lambda shard: self._book.read("select min(period) from consumption where shard = ?", (shard,))[0][
+                        0
+                    ],
+                )
+            )
         if self.settings.budgets is not None and contracts:
             span, fallback, members = self.settings.budgets
             rates = {self._contract(contract): contract.rate for contract in contracts}
@@ -163,12 +183,22 @@
         shards = len(member.held) if usable else 0
         members = len(view.members) if view is not None else 0
         return {
-            "in": int(usable), "members": members, "shards": shards, "acts": tally.acts, "repeats": tally.repeats,
-            "stale_refused": tally.stale, "behind": tally.behind, "failed": tally.failed + self.failed,
-            "gained": tally.gained, "lost": tally.lost, "handed": tally.handed, "doubts": tally.doubts,
-            "joins": tally.joins, "coordinator_calls": self.agent.driver.calls,
+            "in": int(usable),
+            "members": members,
+            "shards": shards,
+            "acts": tally.acts,
+            "repeats": tally.repeats,
+            "stale_refused": tally.stale,
+            "behind": tally.behind,
+            "failed": tally.failed + self.failed,
+            "gained": tally.gained,
+            "lost": tally.lost,
+            "handed": tally.handed,
+            "doubts": tally.doubts,
+            "joins": tally.joins,
+            "coordinator_calls": self.agent.driver.calls,
             "shed": self._strain.given if self._strain is not None else 0,
-        }  # fmt: skip
+        }
 
     def leave(self) -> None:
         self._leaving = True
--- a/lapishaven/ownership/placement.py
+++ b/lapishaven/ownership/placement.py
@@ -107,8 +107,10 @@
 
 def _level(has: dict[str, list[Shard]], fair: Mapping[str, float], by_name: Mapping[str, Part]) -> None:
     """Members under their fair part draw from those that are furthest over it, until they have it."""
-    poor = sorted((name for name in has if len(has[name]) < math.floor(fair[name])),
-                  key=lambda name: (len(has[name]) - fair[name], name))  # fmt: skip
+    poor = sorted(
+        (name for name in has if len(has[name]) < math.floor(fair[name])),
+        key=lambda name: (len(has[name]) - fair[name], name),
+    )
     for name in poor:
         while len(has[name]) < math.floor(fair[name]):
             giver = max(fair, key=lambda other: (len(has[other]) - fair[other], other))
--- a/lapishaven/ownership/receiver.py
+++ b/lapishaven/ownership/receiver.py
@@ -28,8 +28,9 @@
 def _answer(book: Book, line: bytes) -> dict[str, Any]:
     try:
         words = json.loads(line)
-        act = Act((str(words["duty"]), int(words["shard"])), int(words["token"]), int(words["number"]),
-                  int(words["after"]))  # fmt: skip
+        act = Act(
+            (str(words["duty"]), int(words["shard"])), int(words["token"]), int(words["number"]), int(words["after"])
+        )
         effect = str(words["effect"])
     except (ValueError, KeyError, TypeError) as error:
         return {"error": f"no act: {type(error).__name__}: {error}"}
@@ -70,10 +71,20 @@
         self._file: Any = None
 
     def admit(self, act: Act, effect: str, detail: Any) -> Admission:
-        line = json.dumps({
-            "duty": act.shard[0], "shard": act.shard[1], "token": act.token, "number": act.number,
-            "after": act.after, "effect": effect, "detail": detail,
-        }).encode() + b"\n"  # fmt: skip
+        line = (
+            json.dumps(
+                {
+                    "duty": act.shard[0],
+                    "shard": act.shard[1],
+                    "token": act.token,
+                    "number": act.number,
+                    "after": act.after,
+                    "effect": effect,
+                    "detail": detail,
+                }
+            ).encode()
+            + b"\n"
+        )
         try:
             if self._sock is None:
                 self._sock = socket.create_connection(self._address, self._timeout)
--- a/lapishaven/ownership/settings.py
+++ b/lapishaven/ownership/settings.py
@@ -104,12 +104,18 @@
     periods = budgets = None
     if (table := data.get("periods")) is not None:
         where = f"{path}: periods"
-        periods = (int(_number(where, table, "shards", 1, SHARDS)), _number(where, table, "length_s", 0.5, 1e8),
-                   _number(where, table, "grace_s", 0.0, 1e6))  # fmt: skip
+        periods = (
+            int(_number(where, table, "shards", 1, SHARDS)),
+            _number(where, table, "length_s", 0.5, 1e8),
+            _number(where, table, "grace_s", 0.0, 1e6),
+        )
     if (table := data.get("budgets")) is not None:
         where = f"{path}: budgets"
-        budgets = (_number(where, table, "span_s", 0.2, 60.0), _number(where, table, "fallback", 0.0, 1.0),
-                   int(_number(where, table, "members", 1, 10_000)))  # fmt: skip
+        budgets = (
+            _number(where, table, "span_s", 0.2, 60.0),
+            _number(where, table, "fallback", 0.0, 1.0),
+            int(_number(where, table, "members", 1, 10_000)),
+        )
         if budgets[0] < 2 * ttl:
             raise OwnershipError(f"{where}.span_s is under twice lease.ttl_s: grants would end before an heir deals")
     obey = data.get("restart", {}).get("obey", False)
@@ -121,5 +127,16 @@
         after, rest = _number(where, table, "after_s", 0.1, 600.0), _number(where, table, "rest_s", 1.0, 3600.0)
         overload = StrainRules(after, rest=rest)
     weight = _number(f"{path}: lease", {"weight": 1.0, **lease}, "weight", 0.01, 100.0)
-    return Ownership(coordinator, prefix, _file(path, "receiver", data["receiver"]), rules, weight, periods, budgets,
-                     obey is True, min(1.0, ttl / 3), overload, obey == SUPERVISOR)  # fmt: skip
+    return Ownership(
+        coordinator,
+        prefix,
+        _file(path, "receiver", data["receiver"]),
+        rules,
+        weight,
+        periods,
+        budgets,
+        obey is True,
+        min(1.0, ttl / 3),
+        overload,
+        obey == SUPERVISOR,
+    )
--- a/lapishaven/ownership/strain.py
+++ b/lapishaven/ownership/strain.py
@@ -53,14 +53,16 @@
     def strained(self, now: float) -> bool:
         return self._since is not None and now - self._since >= self.rules.after
 
-    def due(self, now: float, name: str, weight: float, view: View | None, held: dict[Shard, int],
-            shards: int) -> Shard | None:  # fmt: skip
+    def due(
+        self, now: float, name: str, weight: float, view: View | None, held: dict[Shard, int], shards: int
+    ) -> Shard | None:
         """A shard to give back now, if any. ``weight``: this member's when it is not strained; ``shards``: how many
         there are in all."""
         if view is None or not self.strained(now) or now < self._next or not held:
             return None
-        others = [each.card for each in view.members
-                  if each.card.standing is Standing.SERVING and each.card.name != name]  # fmt: skip
+        others = [
+            each.card for each in view.members if each.card.standing is Standing.SERVING and each.card.name != name
+        ]
         for card in others:
             self._full[card.start] = max(card.weight, self._full.get(card.start, 0.0))
         if not any(card.weight >= self._full[card.start] for card in others):
--- a/lapishaven/ownership/verify.py
+++ b/lapishaven/ownership/verify.py
@@ -68,7 +68,8 @@
     return None
 
 
-def broken(rows: Sequence[Row], marks: Mapping[Shard, Mark], served: Iterable[Served], statements: Iterable[Served]
-           ) -> str | None:  # fmt: skip
+def broken(
+    rows: Sequence[Row], marks: Mapping[Shard, Mark], served: Iterable[Served], statements: Iterable[Served]
+) -> str | None:
     """The first thing in a book that does not hold."""
     return interleaved(rows) or doubled(rows) or mismarked(rows, marks) or misbilled(served, statements)
--- a/lapishaven/pools/pools.py
+++ b/lapishaven/pools/pools.py
@@ -52,9 +52,12 @@
     def __init__(self, rules: PoolSettings, settings: Settings, now: float = 0.0) -> None:
         self.settings = settings
         self.capacity = Capacity(
-            settings.cores, [FIRST_WORK * spec.aim for spec in settings.classes],
-            settings.cold_from if settings.cold else 1.0, settings.cold_span if settings.cold else 0.0, now,
-        )  # fmt: skip
+            settings.cores,
+            [FIRST_WORK * spec.aim for spec in settings.classes],
+            settings.cold_from if settings.cold else 1.0,
+            settings.cold_span if settings.cold else 0.0,
+            now,
+        )
         self.running: dict[int, Running] = {}
         self.limit = float(settings.cores)
         self._held: dict[int, tuple[int, float]] = {}  # class, since when
@@ -233,13 +236,15 @@
         """The newest safe run of the pool furthest over its share, if most of it is still to do."""
         over = [
             (p.running / max(p.share * self.limit, 1e-9), n)
-            for n, p in enumerate(self.pools) if n != lender and p.running > max(1.0, p.share * self.limit)
-        ]  # fmt: skip
+            for n, p in enumerate(self.pools)
+            if n != lender and p.running > max(1.0, p.share * self.limit)
+        ]
         for _, n in sorted(over, reverse=True):
             mine = [
-                (run.since, id) for id, run in self.running.items()
+                (run.since, id)
+                for id, run in self.running.items()
                 if run.pool == n and not run.halting and self.settings.classes[run.cls].effect is Effect.SAFE
-            ]  # fmt: skip
+            ]
             for since, id in sorted(mine, reverse=True)[:1]:
                 run = self.running[id]
                 left = run.work / self.capacity.speed_now() - (now - since)
@@ -253,13 +258,20 @@
     def state(self) -> dict[str, float | int]:
         """Gauges by name."""
         found: dict[str, float | int] = {
-            "speed": round(self.capacity.speed_now(), 3), "limit": round(self.limit, 1), "running": len(self.running),
-            "held": len(self.ready), "slow_downs": self.capacity.alarms, "worst_crowd": round(self.worst_crowd, 2),
-        }  # fmt: skip
+            "speed": round(self.capacity.speed_now(), 3),
+            "limit": round(self.limit, 1),
+            "running": len(self.running),
+            "held": len(self.ready),
+            "slow_downs": self.capacity.alarms,
+            "worst_crowd": round(self.worst_crowd, 2),
+        }
         for n, pool in enumerate(self.pools):
             found |= {
-                f"{pool.name} running": pool.running, f"{pool.name} held": self.ready.count(n),
-                f"{pool.name} started": pool.started, f"{pool.name} refused": pool.refused,
-                f"{pool.name} taken back": pool.taken_back, f"{pool.name} longest ms": round(pool.longest * 1000),
-            }  # fmt: skip
+                f"{pool.name} running": pool.running,
+                f"{pool.name} held": self.ready.count(n),
+                f"{pool.name} started": pool.started,
+                f"{pool.name} refused": pool.refused,
+                f"{pool.name} taken back": pool.taken_back,
+                f"{pool.name} longest ms": round(pool.longest * 1000),
+            }
         return found
--- a/lapishaven/proto/catalog.py
+++ b/lapishaven/proto/catalog.py
@@ -149,10 +149,16 @@
 
 def delta_text(of: Delta) -> bytes:
     """The JSON text of a delta."""
-    return json.dumps({
-        "epoch": of.epoch, "version": of.version, "since": of.since, "joined": [_row(s) for s in of.joined],
-        "left": list(of.left), "changed": [_row(s) for s in of.changed],
-    }).encode()  # fmt: skip
+    return json.dumps(
+        {
+            "epoch": of.epoch,
+            "version": of.version,
+            "since": of.since,
+            "joined": [_row(s) for s in of.joined],
+            "left": list(of.left),
+            "changed": [_row(s) for s in of.changed],
+        }
+    ).encode()
 
 
 def delta_between(old: Listing, new: Listing) -> Delta:
--- a/lapishaven/proto/jsonrpc.py
+++ b/lapishaven/proto/jsonrpc.py
@@ -119,11 +119,20 @@
     if not 0 < heap < 2000 or not 0 <= crit < 1 or not 0 <= src < 1 << 32 or src != int(src):
         raise _BadParams("heap, crit or src is out of its range")
     return Serve(
-        id, method, call, body, float(heap),
+        id,
+        method,
+        call,
+        body,
+        float(heap),
         recv=_number(params, "recv") / 1000 if params.get("recv") is not None else None,
-        src=int(src), rep=bool(params.get("rep")), crit=float(crit), row=subject,
-        key=_word(params, "dedupe"), left=_seconds(params, "ttl", LEFT_LIMIT), tenant=_word(params, "org"),
-    )  # fmt: skip
+        src=int(src),
+        rep=bool(params.get("rep")),
+        crit=float(crit),
+        row=subject,
+        key=_word(params, "dedupe"),
+        left=_seconds(params, "ttl", LEFT_LIMIT),
+        tenant=_word(params, "org"),
+    )
 
 
 class Server:
@@ -199,9 +208,18 @@
 
 # ---- The caller's side
 def request(
-    id: int, method: str, call: str, body: bytes, heap: float, *, recv: float | None = None, src: int = 0,
-    rep: bool = False, crit: float = 0.0, row: int | None = None,
-) -> bytes:  # fmt: skip
+    id: int,
+    method: str,
+    call: str,
+    body: bytes,
+    heap: float,
+    *,
+    recv: float | None = None,
+    src: int = 0,
+    rep: bool = False,
+    crit: float = 0.0,
+    row: int | None = None,
+) -> bytes:
     """One request's line. ``recv`` is in Unix seconds, ``heap`` in KB."""
     params: dict[str, Any] = {"call": call, "src": src, "heap": heap, "crit": crit}
     if recv is not None:
@@ -309,6 +327,16 @@
 
 
 __all__ = [
-    "Client", "Draining", "Error", "Forget", "IsWell", "Malformed", "Message", "Reply", "Result", "Serve",
-    "Server", "TooLarge",
-]  # fmt: skip
+    "Client",
+    "Draining",
+    "Error",
+    "Forget",
+    "IsWell",
+    "Malformed",
+    "Message",
+    "Reply",
+    "Result",
+    "Serve",
+    "Server",
+    "TooLarge",
+]
--- a/lapishaven/record/command.py
+++ b/lapishaven/record/command.py
@@ -17,11 +17,14 @@
 
 
 def _rows(base: Base) -> tuple[list[Effect], list[Charge]]:
-    effects = [Effect((str(cls), str(key)), Standing(standing), str(customer), int(str(words)))
-               for cls, key, standing, customer, words in
-               base.read("select class, key, standing, customer, words from effect")]  # fmt: skip
-    charges = [Charge((str(cls), str(key)), str(account), int(str(words)))
-               for cls, key, account, words in base.read("select class, key, account, words from ledger")]  # fmt: skip
+    effects = [
+        Effect((str(cls), str(key)), Standing(standing), str(customer), int(str(words)))
+        for cls, key, standing, customer, words in base.read("select class, key, standing, customer, words from effect")
+    ]
+    charges = [
+        Charge((str(cls), str(key)), str(account), int(str(words)))
+        for cls, key, account, words in base.read("select class, key, account, words from ledger")
+    ]
     return effects, charges
 
 
@@ -46,8 +49,9 @@
     """Effects by standing; exit 1 if some are in doubt: intended over a minute ago, with no end."""
     base = Base(load(path).file)
     counts = Counter(str(standing) for (standing,) in base.read("select standing from effect"))
-    doubts = base.read("select class, key, start, since from effect where standing = 'intended' and since < ?",
-                       (time.time() - DOUBT,))  # fmt: skip
+    doubts = base.read(
+        "select class, key, start, since from effect where standing = 'intended' and since < ?", (time.time() - DOUBT,)
+    )
     base.close()
     if as_json:
         print(json.dumps({**counts, "in_doubt": [list(row) for row in doubts]}))
@@ -63,12 +67,16 @@
     base = Base(load(path).file)
     found = base.read(
         "select substr(account, 10), count(*), sum(words) from ledger"
-        " where account like 'customer/%' and at >= ? and at < ? group by account order by account", (since, until),
-    )  # fmt: skip
+        " where account like 'customer/%' and at >= ? and at < ? group by account order by account",
+        (since, until),
+    )
     base.close()
     for customer, count, words in found:
-        print(json.dumps({"customer": customer, "effects": count, "words": words}) if as_json
-              else f"{customer}: {words} words, {count} effects")  # fmt: skip
+        print(
+            json.dumps({"customer": customer, "effects": count, "words": words})
+            if as_json
+            else f"{customer}: {words} words, {count} effects"
+        )
     return 0
 
 
--- a/lapishaven/record/copies.py
+++ b/lapishaven/record/copies.py
@@ -33,8 +33,9 @@
     part.unlink(missing_ok=True)
     try:
         with closing(sqlite3.connect(f"file:{source}?mode=ro", uri=True)) as old, closing(sqlite3.connect(part)) as new:
-            old.backup(new, pages=PAGES, sleep=0.001,
-                       progress=lambda status, left, total: progress(1 - left / max(1, total)))  # fmt: skip
+            old.backup(
+                new, pages=PAGES, sleep=0.001, progress=lambda status, left, total: progress(1 - left / max(1, total))
+            )
             new.execute("pragma journal_mode = delete")  # one file, with nothing beside it
         _sync(part)
         os.replace(part, to)
--- a/lapishaven/record/keeper.py
+++ b/lapishaven/record/keeper.py
@@ -42,9 +42,15 @@
     label = "record"
 
     def __init__(
-        self, base: Base, start: str, meters: Mapping[str, Meter], usual: Meter, rules: FlowRules | None = None,
-        wall: Callable[[], float] = time.time, clock: Callable[[], float] = time.monotonic,
-    ) -> None:  # fmt: skip
+        self,
+        base: Base,
+        start: str,
+        meters: Mapping[str, Meter],
+        usual: Meter,
+        rules: FlowRules | None = None,
+        wall: Callable[[], float] = time.time,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         self.start, self._meters, self._usual, self._wall, self._clock = start, meters, usual, wall, clock
         self._base = base
         self._lock = threading.Lock()  # of the flow, held for moments only
@@ -153,10 +159,15 @@
         with self._lock:
             waiting, broken = len(self._flow), self._flow.broken
         return {
-            "waiting": waiting, "broken": int(broken), "commits": self._writer.commits,
-            "operations": self._writer.operations, "failures": self._writer.failures, "refused": self.refused,
-            "done elsewhere": self.elsewhere, "uncertain": self.uncertain,
-        }  # fmt: skip
+            "waiting": waiting,
+            "broken": int(broken),
+            "commits": self._writer.commits,
+            "operations": self._writer.operations,
+            "failures": self._writer.failures,
+            "refused": self.refused,
+            "done elsewhere": self.elsewhere,
+            "uncertain": self.uncertain,
+        }
 
     def close(self) -> None:
         self._writer.close(LAST_WRITES)
--- a/lapishaven/record/settings.py
+++ b/lapishaven/record/settings.py
@@ -26,8 +26,13 @@
     usual: Meter
 
 
-LIMITS = {"most": (1, 1_000_000), "stall": (0.01, 60.0), "faults": (1, 100), "pause": (0.01, 60.0),
-          "pause_most": (0.01, 600.0)}  # fmt: skip
+LIMITS = {
+    "most": (1, 1_000_000),
+    "stall": (0.01, 60.0),
+    "faults": (1, 100),
+    "pause": (0.01, 60.0),
+    "pause_most": (0.01, 600.0),
+}
 
 
 def _meter(where: str, name: Any) -> Meter:
--- a/lapishaven/recovery/keeper.py
+++ b/lapishaven/recovery/keeper.py
@@ -116,11 +116,15 @@
         """Gauges by name, for operators."""
         syncs = sorted(self.store.stats.syncs)
         return {
-            "effects": len(self.ledger), "in doubt": sum(1 for _ in self.ledger.doubts()),
-            "commits": self.store.stats.commits, "refused": self.store.stats.refused, "failed": self.store.stats.failed,
-            "damaged": len(self.store.damage), "bytes": self.store.disk_bytes,
+            "effects": len(self.ledger),
+            "in doubt": sum(1 for _ in self.ledger.doubts()),
+            "commits": self.store.stats.commits,
+            "refused": self.store.stats.refused,
+            "failed": self.store.stats.failed,
+            "damaged": len(self.store.damage),
+            "bytes": self.store.disk_bytes,
             "fsync p99 us": round(syncs[int(len(syncs) * 0.99)] * 1e6) if syncs else 0,
-        }  # fmt: skip
+        }
 
     def _when(self, future: Future[int], then: Callable[[bool], None]) -> None:
         with self._lock:
--- a/lapishaven/server.py
+++ b/lapishaven/server.py
@@ -92,9 +92,15 @@
         if backend is not None:
             spans = {spec.name: spec.deadline for spec in config.settings.classes}
             self.drivers["uwsgi"] = Uwsgi(
-                self.loop, backend.address, backend.path, config.settings.cores, spans, self, self.counters,
+                self.loop,
+                backend.address,
+                backend.path,
+                config.settings.cores,
+                spans,
+                self,
+                self.counters,
                 dial,
-            )  # fmt: skip
+            )
         self.spreading = self._spreading(spread, dial) if spread is not None else None
         if self.spreading is not None:
             self.drivers["uwsgi"] = self.spreading
@@ -167,10 +173,18 @@
             settings = replace(self.config.settings, cold=cold)
             contracts = Contracts(self._contracts, self.fleet) if self._contracts is not None else None
             self.broker = Broker(
-                settings, self.config.seed, self.backend, self, self.counters, contracts, self.drivers,
-                self._record, self.config.memory_mb * 1024 * 1024, self._make_pools(settings),
+                settings,
+                self.config.seed,
+                self.backend,
+                self,
+                self.counters,
+                contracts,
+                self.drivers,
+                self._record,
+                self.config.memory_mb * 1024 * 1024,
+                self._make_pools(settings),
                 self.keeper,
-            )  # fmt: skip
+            )
             for cls, key, age in self.store.started(ONCE_LIFE) if self.store is not None else ():
                 if cls in self.classes:
                     self.broker.remember(self.loop.now, cls, key, age)
@@ -303,8 +317,7 @@
             old, interpreter=new.interpreter, catalog=new.catalog, stop_span=new.stop_span, settings=settings
         )
         self.leaving.shorten(new.stop_span)
-        kept = [n for n in ("name", "listen", "descriptors", "memory_mb")
-                if getattr(new, n) != getattr(old, n)]  # fmt: skip
+        kept = [n for n in ("name", "listen", "descriptors", "memory_mb") if getattr(new, n) != getattr(old, n)]
         self.log("reload: done" + (f"; only a restart changes {', '.join(kept)}" if kept else ""))
 
     # ---- Leaving
--- a/lapishaven/spread/news.py
+++ b/lapishaven/spread/news.py
@@ -43,9 +43,14 @@
     """What does not fit is told as the most (or least) that does."""
     speed = max(1, _within(ONE + OCTAVE * log2(news.speed), U8)) if news.speed > 0 else 0
     return WORD.pack(
-        news.start & U32, news.number & U32, _within(news.open, U16), _within(news.load * LOADS, U16),
-        max(1, _within(news.slots, U8)), speed, _within(news.warm * U8, U8),
-    )  # fmt: skip
+        news.start & U32,
+        news.number & U32,
+        _within(news.open, U16),
+        _within(news.load * LOADS, U16),
+        max(1, _within(news.slots, U8)),
+        speed,
+        _within(news.warm * U8, U8),
+    )
 
 
 def unpack(data: bytes) -> News:
--- a/lapishaven/spread/settings.py
+++ b/lapishaven/spread/settings.py
@@ -17,15 +17,32 @@
 
 # Name in the file, field of ``Rules``, least, most.
 NUMBERS = {
-    "probes": {"a_choice": ("probes", 0, 8), "wait_s": ("wait", 0.001, 1.0), "kept": ("pool", 0, 256),
-               "uses": ("uses", 1, 16), "kept_s": ("pool_life", 0.01, 60.0), "memory": ("memory", 0.01, 100.0)},
-    "silence": {"watch_s": ("watch", 0.01, 60.0), "silent_s": ("silent", 0.01, 10.0),
-                "uncertain_s": ("uncertain", 0.01, 60.0), "panic": ("panic", 0.05, 1.0)},
-    "faults": {"in_a_row": ("faults", 1, 100), "out_s": ("out", 0.01, 600.0), "out_most_s": ("out_most", 0.01, 3600.0),
-               "part": ("out_part", 0.0, 1.0)},
-    "second_tries": {"part": ("budget", 0.0, 1.0), "part_high": ("budget_high", 0.0, 1.0),
-                     "high_s": ("high_span", 0.0, 60.0)},
-}  # fmt: skip
+    "probes": {
+        "a_choice": ("probes", 0, 8),
+        "wait_s": ("wait", 0.001, 1.0),
+        "kept": ("pool", 0, 256),
+        "uses": ("uses", 1, 16),
+        "kept_s": ("pool_life", 0.01, 60.0),
+        "memory": ("memory", 0.01, 100.0),
+    },
+    "silence": {
+        "watch_s": ("watch", 0.01, 60.0),
+        "silent_s": ("silent", 0.01, 10.0),
+        "uncertain_s": ("uncertain", 0.01, 60.0),
+        "panic": ("panic", 0.05, 1.0),
+    },
+    "faults": {
+        "in_a_row": ("faults", 1, 100),
+        "out_s": ("out", 0.01, 600.0),
+        "out_most_s": ("out_most", 0.01, 3600.0),
+        "part": ("out_part", 0.0, 1.0),
+    },
+    "second_tries": {
+        "part": ("budget", 0.0, 1.0),
+        "part_high": ("budget_high", 0.0, 1.0),
+        "high_s": ("high_span", 0.0, 60.0),
+    },
+}
 WHOLE = ("probes", "pool", "uses", "faults")
 
 
--- a/lapishaven/spread/spread.py
+++ b/lapishaven/spread/spread.py
@@ -139,10 +139,12 @@
         together it draws the part that it wants, and no more however often it is the emptiest of those asked."""
         warmest = max(known.news.warm if known.news is not None else 1.0 for known in found)
         left = [
-            known for known in found
-            if known.news is None or known.news.warm >= warmest
+            known
+            for known in found
+            if known.news is None
+            or known.news.warm >= warmest
             or self._random.random() < known.news.warm / warmest / max(1, asked)
-        ]  # fmt: skip
+        ]
         return left or found
 
     def _cost(self, now: float, known: Known) -> float:
@@ -294,15 +296,29 @@
             assert known is not None
             news = known.news
             standing = (
-                "silent" if known in self.silence.suspects else "out" if known.out > now else "pushed back"
-                if known.away > now else "leaves" if news is not None and news.warm <= 0 else "ok"
-            )  # fmt: skip
-            rows.append({
-                "process": name, "standing": standing, "in_hand": news.open if news is not None else None,
-                "slots": known.slots(), "speed": round(news.speed, 2) if news is not None else None,
-                "warm": round(news.warm, 2) if news is not None else None,
-                "age_s": round(now - known.at, 3) if news is not None else None, "ours": known.open,
-                "estimate": round(known.load(now, self.mean, self.usual, self.rules), 2),
-                "cost": round(self._cost(now, known), 3), "faults": known.faults,
-            })  # fmt: skip
+                "silent"
+                if known in self.silence.suspects
+                else "out"
+                if known.out > now
+                else "pushed back"
+                if known.away > now
+                else "leaves"
+                if news is not None and news.warm <= 0
+                else "ok"
+            )
+            rows.append(
+                {
+                    "process": name,
+                    "standing": standing,
+                    "in_hand": news.open if news is not None else None,
+                    "slots": known.slots(),
+                    "speed": round(news.speed, 2) if news is not None else None,
+                    "warm": round(news.warm, 2) if news is not None else None,
+                    "age_s": round(now - known.at, 3) if news is not None else None,
+                    "ours": known.open,
+                    "estimate": round(known.load(now, self.mean, self.usual, self.rules), 2),
+                    "cost": round(self._cost(now, known), 3),
+                    "faults": known.faults,
+                }
+            )
         return rows
--- a/lapishaven/spread/teller.py
+++ b/lapishaven/spread/teller.py
@@ -74,6 +74,11 @@
             age = (now - self._born) / self._warm_span
             warm = min(1.0, self._warm_from + (1.0 - self._warm_from) * age)
         return News(
-            self._start, self._number, sum(in_hand.values()), sum(n * self.size(cls) for cls, n in in_hand.items()),
-            self._slots, speed, 0.0 if self.leaving else max(warm * (1.0 - self._failing), LEAST),
-        )  # fmt: skip
+            self._start,
+            self._number,
+            sum(in_hand.values()),
+            sum(n * self.size(cls) for cls, n in in_hand.items()),
+            self._slots,
+            speed,
+            0.0 if self.leaving else max(warm * (1.0 - self._failing), LEAST),
+        )
