--- a/lapishaven/storage/command.py
+++ b/lapishaven/storage/command.py
@@ -62,10 +62,14 @@
 def stat(path: str) -> int:
     with Store.open(_there(path)) as store:
         found = {
-            "keys": len(store), "segments": len(store.segments), "bytes": store.disk_bytes,
-            "index_bytes": store.index.memory(), "opened_ms": round(store.stats.opened_in * 1000, 1),
-            "cut_bytes": store.stats.cut, "damaged": len(store.damage),
-        }  # fmt: skip
+            "keys": len(store),
+            "segments": len(store.segments),
+            "bytes": store.disk_bytes,
+            "index_bytes": store.index.memory(),
+            "opened_ms": round(store.stats.opened_in * 1000, 1),
+            "cut_bytes": store.stats.cut,
+            "damaged": len(store.damage),
+        }
     print(json.dumps(found))
     return 0
 
--- a/lapishaven/storage/index.py
+++ b/lapishaven/storage/index.py
@@ -126,6 +126,12 @@
         return columns + len(self._over) * 230
 
 
-ROWS = np.dtype([
-    ("high", np.uint64), ("low", np.uint64), ("place", np.uint64), ("seq", np.uint64), ("expiry", np.float64),
-])  # fmt: skip
+ROWS = np.dtype(
+    [
+        ("high", np.uint64),
+        ("low", np.uint64),
+        ("place", np.uint64),
+        ("seq", np.uint64),
+        ("expiry", np.float64),
+    ]
+)
--- a/tests/client_world.py
+++ b/tests/client_world.py
@@ -150,6 +150,15 @@
 
 
 __all__ = [
-    "CLASSES", "ClientWorld", "Connections", "Ending", "Health", "Reply", "Retry", "Routing", "Settings", "listing",
+    "CLASSES",
+    "ClientWorld",
+    "Connections",
+    "Ending",
+    "Health",
+    "Reply",
+    "Retry",
+    "Routing",
+    "Settings",
+    "listing",
     "settings",
-]  # fmt: skip
+]
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -40,21 +40,48 @@
 
 CLASSES = [("fuzzy-match", 1.5, 5.6, "free", 1.0), ("approve-commit", 1.1, 3.8, "single_shot", 3.0)]
 SETTINGS: dict[str, Any] = {
-    "callers": {"marks-retry": True}, "customers": [], "peers-total": 3, "value-by": "request",
+    "callers": {"marks-retry": True},
+    "customers": [],
+    "peers-total": 3,
+    "value-by": "request",
     "extra": {
-        "below": "silent", "calls-by-class": [False] * 2, "class-skip-worth": [0.0] * 2, "cold": False,
-        "cores": 6, "deep-checks": True, "dep-window": 5.0, "fair-calls": 0.0, "fresh": 0.0,
-        "gauges": ["core_use", "on_cores", "heap_share", "links"], "halt": "suspend", "idle": 15.0,
-        "key-kb": 112.0, "linger": 0.2, "memory-kb": 29232.0, "passes-deadline": False,
-        "registry-follows": True, "run-factor": 16.0, "said-for": 1.0, "say": "silent", "tells-gone": True,
+        "below": "silent",
+        "calls-by-class": [False] * 2,
+        "class-skip-worth": [0.0] * 2,
+        "cold": False,
+        "cores": 6,
+        "deep-checks": True,
+        "dep-window": 5.0,
+        "fair-calls": 0.0,
+        "fresh": 0.0,
+        "gauges": ["core_use", "on_cores", "heap_share", "links"],
+        "halt": "suspend",
+        "idle": 15.0,
+        "key-kb": 112.0,
+        "linger": 0.2,
+        "memory-kb": 29232.0,
+        "passes-deadline": False,
+        "registry-follows": True,
+        "run-factor": 16.0,
+        "said-for": 1.0,
+        "say": "silent",
+        "tells-gone": True,
         "upstreams": 3,
     },
     "limits": {"max-retry-after": 1.0, "retry-after": True},
-    "obligations": {"answer-slack": 0.1, "cold": 17.0, "cold-from": 0.24, "drain-grace": 2.0,
-                    "fall-multiple": 6.0, "tip-after": 1.5},
-    "profiles": [{"name": n, "aim": a, "deadline": d, "effect": e, "credit": w, "late-worth": 0.0,
-                  "window": 5.0} for n, a, d, e, w in CLASSES],
-}  # fmt: skip
+    "obligations": {
+        "answer-slack": 0.1,
+        "cold": 17.0,
+        "cold-from": 0.24,
+        "drain-grace": 2.0,
+        "fall-multiple": 6.0,
+        "tip-after": 1.5,
+    },
+    "profiles": [
+        {"name": n, "aim": a, "deadline": d, "effect": e, "credit": w, "late-worth": 0.0, "window": 5.0}
+        for n, a, d, e, w in CLASSES
+    ],
+}
 
 
 def settings(classes: list[dict[str, Any]] | None = None, **extra: Any) -> dict[str, Any]:
@@ -65,10 +92,16 @@
 
 def configuration(**changes: Any) -> str:
     data = {
-        "name": "n1", "listen": "127.0.0.1:0", "vm": "127.0.0.1:1", "directory": "127.0.0.1:1",
-        "seed": "8c1f30d27a5be964", "stop_ms": 3200, "settings": SETTINGS,
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 128}, **changes,
-    }  # fmt: skip
+        "name": "n1",
+        "listen": "127.0.0.1:0",
+        "vm": "127.0.0.1:1",
+        "directory": "127.0.0.1:1",
+        "seed": "8c1f30d27a5be964",
+        "stop_ms": 3200,
+        "settings": SETTINGS,
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 128},
+        **changes,
+    }
     return json.dumps(data)
 
 
@@ -185,10 +218,16 @@
         self.said: list[str] = []
         self.files = text
         self.server = Server(
-            config.parse(text, environ), front, self.backend, loop=Loop(lambda: self.now), log=self.said.append,
-            dial=self.dial, contracts=self.contracts, store=self.store,
+            config.parse(text, environ),
+            front,
+            self.backend,
+            loop=Loop(lambda: self.now),
+            log=self.said.append,
+            dial=self.dial,
+            contracts=self.contracts,
+            store=self.store,
             files=lambda: config.Files(config.parse(self.files)),
-        )  # fmt: skip
+        )
         self.peers: dict[str, Peer] = {}
         self.pump()
 
@@ -307,8 +346,12 @@
             method, id, params = "isWell", 1, {"e2e": bool(rest)}
         else:
             method, id = rest[0], int(what)
-            params = {"call": self.call(name, what), "heap": 24.5, "crit": 0.9,
-                      "arg": base64.b64encode(f"{name}.{what}".encode()).decode()}  # fmt: skip
+            params = {
+                "call": self.call(name, what),
+                "heap": 24.5,
+                "crit": 0.9,
+                "arg": base64.b64encode(f"{name}.{what}".encode()).decode(),
+            }
             words = dict(word.split("=") for word in rest[1:])
             if "body" in words:  # another request's label, as the further tries of one request have the same body
                 params["arg"] = base64.b64encode(words.pop("body").encode()).decode()
--- a/tests/test_client_driver.py
+++ b/tests/test_client_driver.py
@@ -197,10 +197,14 @@
         quick = Connections(silence_s=0.1)
         # Both connected from the start, as rendezvous does: the aperture would connect the second one later.
         given = replace(
-            settings(0, catalog="x:1"), catalog="", servers=(where(dumb), where(good)), retry=FREE,
-            connections=quick, health=replace(settings().health, probe_timeout_s=0.1),
+            settings(0, catalog="x:1"),
+            catalog="",
+            servers=(where(dumb), where(good)),
+            retry=FREE,
+            connections=quick,
+            health=replace(settings().health, probe_timeout_s=0.1),
             routing=Routing(subsetting="rendezvous"),
-        )  # fmt: skip
+        )
         async with dumb, good, Client(given) as client:
             spans = [(await client.outcome("fuzzy-match", b"a")) for _ in range(20)]
             return spans, client.policy.counts["left out"]
@@ -329,9 +333,11 @@
             await fleet.ready()
             tap.not_servers.add(fleet.catalog.address)
             given = Settings(
-                site.rules(), catalog="{}:{}".format(*fleet.catalog.address), retry=FREE,
+                site.rules(),
+                catalog="{}:{}".format(*fleet.catalog.address),
+                retry=FREE,
                 catalog_rules=replace(settings().catalog_rules, poll_s=0.1),
-            )  # fmt: skip
+            )
             async with Client(given, sockets=tap.socket) as client:
                 calls = [client.outcome(kind, b"%d" % n) for n, kind in enumerate([*site.rules()] * 8)]
                 outcomes = await asyncio.gather(*calls)
@@ -340,8 +346,10 @@
                 fleet.kill("n1", 0.2)
                 fleet.drain("n2")
                 more = await asyncio.gather(*(client.outcome("approve-commit", b"c%d" % n) for n in range(10)))
-                assert all(isinstance(outcome, Served | Uncertain) or not fleet.starts()[b"c%d" % n]
-                           for n, outcome in enumerate(more))  # fmt: skip
+                assert all(
+                    isinstance(outcome, Served | Uncertain) or not fleet.starts()[b"c%d" % n]
+                    for n, outcome in enumerate(more)
+                )
                 assert max(fleet.starts().values()) == 1
             front = [line.split(" and ")[1] for line in log.read_text().splitlines() if " and " in line][0]
             over_uwsgi = replace(given, catalog="", servers=(front.strip(),), wire="uwsgi")
--- a/tests/test_client_policy.py
+++ b/tests/test_client_policy.py
@@ -373,8 +373,13 @@
 # Guards against affinity by the few servers that were followed when the list came: a window that the traffic made
 # wider, or a server that stands in, is on its ring too.
 def test_affinity_goes_by_all_servers_that_are_followed_now() -> None:
-    world = ClientWorld(settings(6, routing=Routing("affinity"), connections=Connections(
-        least=2, turn_share=0.9, spread_s=0.001, spread_least_s=0.001)))  # fmt: skip
+    world = ClientWorld(
+        settings(
+            6,
+            routing=Routing("affinity"),
+            connections=Connections(least=2, turn_share=0.9, spread_s=0.001, spread_least_s=0.001),
+        )
+    )
     for _ in range(200):
         world.call(row=world.policy.random.getrandbits(64))
         world.go(0.05)
--- a/tests/test_client_silence.py
+++ b/tests/test_client_silence.py
@@ -86,6 +86,7 @@
         there.go(0.5)
     assert len(there.dialled) - before <= 10  # 0.5 a second for 10 s, and the debt; 20 calls came
 
+
 def test_clients_send_nothing_to_servers_that_were_stopped_a_second_ago() -> None:
     """Guards the judging of silence in the client: without the questions a stopped server goes on being chosen, as its
     kernel takes connections and requests all the same."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -19,8 +19,10 @@
 
 
 # Guards against a deal that piles clients on some servers: each holds the same number to within the rounds' rest.
-@pytest.mark.parametrize(("servers", "clients", "least", "wide"), [(10, 100, 2, 3), (10, 100, 2, 2), (100, 1000, 2, 3),
-                                                                   (7, 50, 2, 2), (1000, 20_000, 2, 3)])  # fmt: skip
+@pytest.mark.parametrize(
+    ("servers", "clients", "least", "wide"),
+    [(10, 100, 2, 3), (10, 100, 2, 2), (100, 1000, 2, 3), (7, 50, 2, 2), (1000, 20_000, 2, 3)],
+)
 def test_every_server_has_as_many_clients_as_any_other_to_within_a_few(
     servers: int, clients: int, least: int, wide: int
 ) -> None:
--- a/tests/test_keeping.py
+++ b/tests/test_keeping.py
@@ -126,8 +126,9 @@
 # Guards against a call refused at once, with a time to come back, where the servers that the client follows are away
 # but others are there: found in simulated time, in 62 of 18,600 calls.
 def test_a_call_with_nothing_connected_goes_to_a_server_that_is_not_followed_yet() -> None:
-    world = ClientWorld(settings(catalog="10.0.0.9:1", connections=Connections(least=2, spread_s=0.001,
-                                                                               spread_least_s=0.001)))  # fmt: skip
+    world = ClientWorld(
+        settings(catalog="10.0.0.9:1", connections=Connections(least=2, spread_s=0.001, spread_least_s=0.001))
+    )
     world.policy.listed(0.0, listing(1, *NAMES))
     for _ in range(10):
         world.call()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -28,8 +28,11 @@
     one, two = listing(1, "n1", "n2", "n3"), listing(2, "n1", "n2", "n4", critical=("n2",))
     delta = delta_between(one, two)
     assert (delta.since, [r.name for r in delta.joined], delta.left, [r.name for r in delta.changed]) == (
-        1, ["n4"], ("n3",), ["n2"],
-    )  # fmt: skip
+        1,
+        ["n4"],
+        ("n3",),
+        ["n2"],
+    )
     membership = Membership(RULES)
     assert membership.offer(0.0, one).verdict == "taken" and not membership.wants_whole
     change = membership.offer_delta(1.0, delta)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -158,8 +158,9 @@
     for n in range(3):
         fleet.start(f"m{n}")
     fleet.run(3600.0)
-    assert not [notice for one in fleet.members.values() for _, notice in one.notices
-                if notice.what in ("lost", "out", "doubt")]  # fmt: skip
+    assert not [
+        notice for one in fleet.members.values() for _, notice in one.notices if notice.what in ("lost", "out", "doubt")
+    ]
 
 
 def test_an_outage_makes_nobody_an_owner_and_its_end_is_no_herd() -> None:
@@ -275,7 +276,10 @@
     book.note(lambda base: periods.add(base, collector.rows()))
     book.admit(Act(("periods", 0), 4, 1), "close", {"shard": 0, "period": 2})
     assert book.read("select team, period, count, worth from statement order by period, team") == [
-        ("x", 0, 2, 1000), ("y", 1, 1, 500), ("x", 2, 1, 500)]  # fmt: skip
+        ("x", 0, 2, 1000),
+        ("y", 1, 1, 500),
+        ("x", 2, 1, 500),
+    ]
     assert read_book(book) is None
     book.close()
 
@@ -312,8 +316,10 @@
         assert all(dealt[name] >= max(dealt.values()) - 1e-6 for name in starved)
 
 
-@given(st.dictionaries(st.sampled_from("abcdef"), st.floats(0, 50)), st.dictionaries(st.sampled_from("abcdef"),
-       st.floats(0, 20)))  # fmt: skip
+@given(
+    st.dictionaries(st.sampled_from("abcdef"), st.floats(0, 50)),
+    st.dictionaries(st.sampled_from("abcdef"), st.floats(0, 20)),
+)
 def test_what_may_still_be_out_is_never_dealt_again(wanted: dict[str, float], out: dict[str, float]) -> None:
     """Guards an owner change: the old owner's grants run on at members that do not know of the new one."""
     grants = budgets.dealt_now(100.0, {k: min(v, 100.0 / 6) for k, v in wanted.items()}, out)
@@ -398,7 +404,8 @@
     assert [name for name, _ in done[0][1]["members"]] == ["a", "b", "dead"]
     assert done[1] == ("permit", {"rollout": "r", "token": 7, "members": [("a", "a1")]})
     assert rolling({"a": ("a2", True, True)}, {"a": 1.0, "b": 1.0, "deaf": 1.0}, book) == [
-        ("complete", {"rollout": "r", "members": ["a"]})]  # dead is away, so b has to wait
+        ("complete", {"rollout": "r", "members": ["a"]})
+    ]  # dead is away, so b has to wait
     book.close()
 
 
--- a/tests/test_ownership_field.py
+++ b/tests/test_ownership_field.py
@@ -191,8 +191,13 @@
         field.field.say(name, step=step)
         mark = len(field.field.lines)
         for who in (a, b):
-            field.field.wait(f"acts of {who}", lambda lines, who=who, mark=mark: sum(
-                line["what"] == "acked" and line["who"] == who for line in lines[mark:]) > 40)  # fmt: skip
+            field.field.wait(
+                f"acts of {who}",
+                lambda lines, who=who, mark=mark: sum(
+                    line["what"] == "acked" and line["who"] == who for line in lines[mark:]
+                )
+                > 40,
+            )
     assert not [line for line in field.field.lines[since:] if line["what"] in ("lost", "out")]
     field.check()
 
@@ -218,9 +223,9 @@
     field.field.say("book", full=False)
     field.field.first("acked", since=len(field.field.lines), who=a)
     with closing(sqlite3.connect(field.book)) as base:
-        ticks, = base.execute("select count(*) from tick").fetchone()
-        log, = base.execute("select count(*) from fence_log").fetchone()
-        held, = base.execute("select sum(held) from fence_mark").fetchone()
+        (ticks,) = base.execute("select count(*) from tick").fetchone()
+        (log,) = base.execute("select count(*) from fence_log").fetchone()
+        (held,) = base.execute("select sum(held) from fence_mark").fetchone()
     assert ticks == log == held
     field.check()
 
@@ -298,8 +303,12 @@
     """Guards billing: before the act, within its transaction at both ends, and after it, while all go on serving."""
     with Field() as field:
         book = field.folder / "book.db"
-        spec: dict[str, Any] = {"duty": "periods", "coordinator": str(field.folder / "lease.db"), "book": str(book),
-                                "rules": FAST}  # fmt: skip
+        spec: dict[str, Any] = {
+            "duty": "periods",
+            "coordinator": str(field.folder / "lease.db"),
+            "book": str(book),
+            "rules": FAST,
+        }
         field.start("b", seed=2, **spec)
         field.first("acked", effect="close")
         for n, point in enumerate(("before-act", "in-act", "end-act", "after-act")):
--- a/tests/test_ownership_part.py
+++ b/tests/test_ownership_part.py
@@ -36,8 +36,11 @@
     there = {name: Part(load(str(path)), name, TERMS, ["fuzzy"], lambda text: None) for name in ("a", "b")}
     for part in there.values():
         part.start()
-    until("two members with all shards", lambda: sum(p.state()["shards"] for p in there.values()) == 4
-          and all(p.state()["members"] == 2 for p in there.values()))  # fmt: skip
+    until(
+        "two members with all shards",
+        lambda: sum(p.state()["shards"] for p in there.values()) == 4
+        and all(p.state()["members"] == 2 for p in there.values()),
+    )
     yield str(path), there
     for part in there.values():
         part.leave()
@@ -64,8 +67,9 @@
     assert served <= 80.0 * 1.1 * span + 92  # the rate with its overshoot, and what a purse may have held
 
 
-def test_operators_see_take_and_hold_shards(parts: tuple[str, dict[str, Part]], capsys: pytest.CaptureFixture[str]
-                                            ) -> None:  # fmt: skip
+def test_operators_see_take_and_hold_shards(
+    parts: tuple[str, dict[str, Part]], capsys: pytest.CaptureFixture[str]
+) -> None:
     """Guards the commands against a live fleet: what they print is so, and a shard that is held is nobody else's."""
     path, there = parts
     until("every shard to have an owner", lambda: command.status(path, True) == 0)
@@ -79,8 +83,7 @@
     assert command.claim(path, "periods", 1, 1.0) == 0
     assert "held with token" in capsys.readouterr().out
     there["a"].served("t", "c", 2.0, None)
-    until("a statement", lambda: command.history(path, "periods", 5, False) == 0
-          and "close" in capsys.readouterr().out)  # fmt: skip
+    until("a statement", lambda: command.history(path, "periods", 5, False) == 0 and "close" in capsys.readouterr().out)
     assert command.verify(path) == 0
 
 
--- a/tests/test_ownership_serve.py
+++ b/tests/test_ownership_serve.py
@@ -63,8 +63,13 @@
 
 
 def ownership(path: Path, *words: str) -> subprocess.CompletedProcess[str]:
-    return subprocess.run([sys.executable, "-m", "lapishaven", "ownership", *words, "--file", str(path)], cwd=ROOT,
-                          capture_output=True, text=True, check=False)  # fmt: skip
+    return subprocess.run(
+        [sys.executable, "-m", "lapishaven", "ownership", *words, "--file", str(path)],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
 
 
 def test_periods_are_closed_once_over_the_kill_of_their_owner(tmp_path: Path) -> None:
@@ -87,18 +92,26 @@
                 await until("statement", lambda: rows(tmp_path, "select 1 from statement"))
                 owner = rows(tmp_path, "select duty, shard, token from fence_log order by position desc limit 1")
                 with closing(sqlite3.connect(tmp_path / "lease.db")) as base:
-                    name, = base.execute("select name from session s join owner o on o.session = s.id"
-                                         " where duty = 'periods' limit 1").fetchone()  # fmt: skip
+                    (name,) = base.execute(
+                        "select name from session s join owner o on o.session = s.id" " where duty = 'periods' limit 1"
+                    ).fetchone()
                 assert owner
                 await calls(20)
                 fleet.kill(name, 0.5)
                 await calls(40)
-                await until("all rows in statements", lambda: rows(
-                    tmp_path, "select 1 where (select sum(count) from consumption) = (select sum(count) from statement)"
-                    " and (select count(distinct server) from consumption) > 1"))  # fmt: skip
-                await until("what was served", lambda: rows(
-                    tmp_path, f"select 1 where (select sum(count) from statement) >= {served[True] - 20}"))  # fmt: skip
-        billed, = rows(tmp_path, "select sum(count) from statement")[0]
+                await until(
+                    "all rows in statements",
+                    lambda: rows(
+                        tmp_path,
+                        "select 1 where (select sum(count) from consumption) = (select sum(count) from statement)"
+                        " and (select count(distinct server) from consumption) > 1",
+                    ),
+                )
+                await until(
+                    "what was served",
+                    lambda: rows(tmp_path, f"select 1 where (select sum(count) from statement) >= {served[True] - 20}"),
+                )
+        (billed,) = rows(tmp_path, "select sum(count) from statement")[0]
         assert served[True] - 20 <= billed <= served[True] + served[False]
         assert ownership(path, "verify").returncode == 0
         assert not fleet.crashes
@@ -118,8 +131,11 @@
             await until("reports", lambda: len(rows(tmp_path, "select 1 from restart_report where ready")) == 3)
             await until("members", lambda: ownership(path, "members").stdout.count("serving") == 3)
             assert ownership(path, "restart", "r1", "--at-once", "1").returncode == 0
-            await until("the rollout", lambda: rows(
-                tmp_path, "select count(*) from restart_member where state = 'done'") == [(3,)], 60.0)  # fmt: skip
+            await until(
+                "the rollout",
+                lambda: rows(tmp_path, "select count(*) from restart_member where state = 'done'") == [(3,)],
+                60.0,
+            )
             left = [name for _, what, name in fleet.events if what == "left"]
             assert sorted(left) == sorted(fleet.nodes)
             starts: Counter[str] = Counter(name for _, what, name in fleet.events if what == "start")
@@ -192,11 +208,17 @@
                     name = each["name"]
                     if (name, each["start"]) not in seen:
                         seen.append((name, each["start"]))
-                        took = await platforms[name].upgrade(procs[name], f"{name}b", await config(name, f"{name}b"),
-                                                             [kind.deadline for kind in site.KINDS])  # fmt: skip
+                        took = await platforms[name].upgrade(
+                            procs[name],
+                            f"{name}b",
+                            await config(name, f"{name}b"),
+                            [kind.deadline for kind in site.KINDS],
+                        )
                         assert took.old_code == 0 and not took.killed
-            await until("the rollout", lambda: rows(
-                tmp_path, "select count(*) from restart_member where state = 'done'") == [(3,)])  # fmt: skip
+            await until(
+                "the rollout",
+                lambda: rows(tmp_path, "select count(*) from restart_member where state = 'done'") == [(3,)],
+            )
             assert sorted(name for name, _ in seen) == names
             await asyncio.gather(*loads)
             for name in names:
@@ -250,9 +272,11 @@
 
 def test_the_lean_server_imports_nothing_of_it() -> None:
     """Guards the platform's path: with ownership off neither it nor its libraries are loaded."""
-    code = ("import sys, lapishaven.cli, lapishaven.server\n"
-            "odd = [m for m in sys.modules if m.split('.')[0] in ('etcd3gw', 'requests', 'xxhash', 'z3')"
-            " or m.startswith('lapishaven.ownership')]\nprint(odd)\nsys.exit(bool(odd))")  # fmt: skip
+    code = (
+        "import sys, lapishaven.cli, lapishaven.server\n"
+        "odd = [m for m in sys.modules if m.split('.')[0] in ('etcd3gw', 'requests', 'xxhash', 'z3')"
+        " or m.startswith('lapishaven.ownership')]\nprint(odd)\nsys.exit(bool(odd))"
+    )
     assert subprocess.run([sys.executable, "-c", code], cwd=ROOT, check=False).returncode == 0
 
 
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -31,8 +31,13 @@
 SLOW = i.ClassSpec("slow", 1.5, 5.6, 1.0, i.Effect.SAFE, 0.2, None, False, 0.0)
 ONCE = i.ClassSpec("once", 1.1, 3.8, 3.0, i.Effect.UNSAFE, 0.0, None, False, 0.0)
 SITE = settings(
-    classes=(SLOW, ONCE, QUICK), tenants=(), cores=4, memory_kb=1e6, halt="pause", advice_max=1.0,
-)  # fmt: skip
+    classes=(SLOW, ONCE, QUICK),
+    tenants=(),
+    cores=4,
+    memory_kb=1e6,
+    halt="pause",
+    advice_max=1.0,
+)
 RULES: dict[str, Any] = {
     "pool": [
         {"name": "matches", "classes": ["slow"], "share": 0.5, "ceiling": 0.9},
--- a/tests/test_record.py
+++ b/tests/test_record.py
@@ -107,8 +107,10 @@
     assert a.read("select account, words from ledger order by account") == [("customer/t/s", 7), (EARNED, -7)]
     # A group is whole or not at all: the second operation breaks the first one's transaction.
     with closing(sqlite3.connect(tmp_path / "r.db")) as base, base:
-        base.execute("create trigger full before insert on effect when new.key = 'bad' begin"
-                     " select raise(abort, 'database or disk is full'); end")  # fmt: skip
+        base.execute(
+            "create trigger full before insert on effect when new.key = 'bad' begin"
+            " select raise(abort, 'database or disk is full'); end"
+        )
     with pytest.raises(RecordError, match="full"):
         a.write([Op(Event.INTEND, "c", "good", "a", 1.0), Op(Event.INTEND, "c", "bad", "a", 1.0)])
     assert a.read("select count(*) from effect") == [(1,)]
@@ -162,11 +164,14 @@
 @pytest.mark.parametrize(
     ("text", "said"),
     [
-        ('file = "x"', "no path from the root"), ('file = "/x"\n[meter]\nc = "pages"', "none of body, result, each"),
-        ('file = "/x"\n[flow]\nmost = 0.5', "no whole number"), ('file = "/x"\n[flow]\nstall = 1', "unknown stall"),
-        ('file = "/x"\nodd = 1', "unknown odd"), ("file = ", "cannot read"),
+        ('file = "x"', "no path from the root"),
+        ('file = "/x"\n[meter]\nc = "pages"', "none of body, result, each"),
+        ('file = "/x"\n[flow]\nmost = 0.5', "no whole number"),
+        ('file = "/x"\n[flow]\nstall = 1', "unknown stall"),
+        ('file = "/x"\nodd = 1', "unknown odd"),
+        ("file = ", "cannot read"),
     ],
-)  # fmt: skip
+)
 def test_a_wrong_setting_is_one_plain_line(tmp_path: Path, text: str, said: str) -> None:
     """Guards operators from a traceback, and from a setting that is not heard."""
     path = tmp_path / "record.toml"
@@ -215,8 +220,17 @@
     assert not file.exists() and not list(tmp_path.glob("*.part"))
     copies.restore(str(file), str(tmp_path / "b4.db"))
     assert len(effects(Base(str(file)))[0]) == count > 0
-    line = [sys.executable, "-m", "lapishaven", "record", "export", "ledger", str(tmp_path / "l.csv"), "--file",
-            str(settings_file)]  # fmt: skip
+    line = [
+        sys.executable,
+        "-m",
+        "lapishaven",
+        "record",
+        "export",
+        "ledger",
+        str(tmp_path / "l.csv"),
+        "--file",
+        str(settings_file),
+    ]
     assert subprocess.run(line, cwd=ROOT, check=False).returncode == 0
     rows = (tmp_path / "l.csv").read_text().splitlines()
     assert rows[0] == "class,key,account,words,at" and len(rows) == 1 + 2 * count
@@ -291,7 +305,7 @@
             rows = {json.loads(key)[2]: standing for key, standing in base.execute("select key, standing from effect")}
             there = base.execute("select key from ledger where account != 'earned'")
             charged = Counter(json.loads(key)[2] for (key,) in there)
-            total, = base.execute("select sum(words) from ledger").fetchone()
+            (total,) = base.execute("select sum(words) from ledger").fetchone()
         assert done <= {key for key, standing in rows.items() if standing == "done"}
         assert set(charged.values()) == {1} and total == 0
         assert set(charged) == {key for key, standing in rows.items() if standing == "done"}
@@ -314,8 +328,7 @@
                 loop = asyncio.get_running_loop()
                 began = loop.time()
                 commits = [asyncio.create_task(shop.commit("b0", f"k{n}")) for n in range(20)]
-                safe = await asyncio.gather(
-                    *(tier.call("b0", "fuzzy-match", b"safe", loop.time()) for _ in range(20)))  # fmt: skip
+                safe = await asyncio.gather(*(tier.call("b0", "fuzzy-match", b"safe", loop.time()) for _ in range(20)))
                 assert {call.status for call in safe} == {200} and max(call.span for call in safe) < 1.0
                 late = [await shop.commit("b0", f"late{n}") for n in range(5)]
                 found = await asyncio.gather(*commits)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -206,8 +206,13 @@
         for life in range(5):
             vm.reset(False)
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "lapishaven", *words, stderr=subprocess.PIPE, cwd=ROOT,
-            )  # fmt: skip
+                sys.executable,
+                "-m",
+                "lapishaven",
+                *words,
+                stderr=subprocess.PIPE,
+                cwd=ROOT,
+            )
             assert process.stderr is not None
             line = (await process.stderr.readline()).decode()
             host, _, port = line.split(" and ")[1].strip().rpartition(":")
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -34,18 +34,25 @@
             send vm OK c1.1
             expect c1 result 1
         """)
-        self.assertEqual((self.server.classes, self.server.counters.get("reloads", "done")),
-                         ({"fuzzy-match": 0, "segment-save": 2}, 1))  # fmt: skip
+        self.assertEqual(
+            (self.server.classes, self.server.counters.get("reloads", "done")),
+            ({"fuzzy-match": 0, "segment-save": 2}, 1),
+        )
 
     # Guards against a bad file that changes part of the settings, or is not counted as turned down.
     def test_each_kind_of_bad_file_is_turned_down_whole_mid_flow(self) -> None:
         good, before = configuration(vm="127.0.0.1:2"), self.server.config.settings
         self.play("expect vm CONNECT 0")
-        for n, text in enumerate([
-            "", good[: len(good) // 2], changed(lambda s: s["profiles"][1].pop("aim")),
-            changed(lambda s: s["profiles"][0].__setitem__("deadline", 0)),
-            changed(lambda s: s["profiles"][0].__setitem__("deadline", "x")),
-        ], 1):  # fmt: skip
+        for n, text in enumerate(
+            [
+                "",
+                good[: len(good) // 2],
+                changed(lambda s: s["profiles"][1].pop("aim")),
+                changed(lambda s: s["profiles"][0].__setitem__("deadline", 0)),
+                changed(lambda s: s["profiles"][0].__setitem__("deadline", "x")),
+            ],
+            1,
+        ):
             self.files = text
             self.play(f"send server HUP\nsend c1 {n} approve-commit\nexpect vm APPLY c1.{n}")
         self.assertIs(self.server.config.settings, before)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -426,9 +426,19 @@
 
 @pytest.mark.parametrize(
     "extreme",
-    [{"cores": 1}, {"tenants": ()}, {"callers": 0}, {"peers": 1}, {"peers": 0}, {"fair_calls": 0.2},
-     {"idle": None}, {"say": "window", "callers": 0}, {"halt": "pause"}, {"cold": True, "cold_span": 0.0}],
-)  # fmt: skip
+    [
+        {"cores": 1},
+        {"tenants": ()},
+        {"callers": 0},
+        {"peers": 1},
+        {"peers": 0},
+        {"fair_calls": 0.2},
+        {"idle": None},
+        {"say": "window", "callers": 0},
+        {"halt": "pause"},
+        {"cold": True, "cold_span": 0.0},
+    ],
+)
 def test_settings_at_their_extremes_work(extreme: dict[str, Any]) -> None:
     c = started(**extreme)
     now, answered = 0.0, set[int]()
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -42,10 +42,18 @@
 
 
 # ---- Words
-@given(st.integers(0, 2**32 - 1), st.integers(0, 2**32 - 1), st.integers(0, 65535), st.floats(0, 4000),
-       st.integers(1, 255), st.floats(0.005, 200.0), st.floats(0, 1))  # fmt: skip
-def test_a_word_comes_back_as_it_went(start: int, number: int, open_: int, load_: float, slots: int, speed: float,
-                                      warm: float) -> None:  # fmt: skip
+@given(
+    st.integers(0, 2**32 - 1),
+    st.integers(0, 2**32 - 1),
+    st.integers(0, 65535),
+    st.floats(0, 4000),
+    st.integers(1, 255),
+    st.floats(0.005, 200.0),
+    st.floats(0, 1),
+)
+def test_a_word_comes_back_as_it_went(
+    start: int, number: int, open_: int, load_: float, slots: int, speed: float, warm: float
+) -> None:
     """Guards the wire: 15 bytes, 20 characters, each figure within a step."""
     said = News(start, number, open_, load_, slots, speed, warm)
     for back in (unpack(pack(said)), news.parse(news.text(said))):
@@ -97,8 +105,10 @@
 
 # ---- Draws
 @settings(max_examples=30, deadline=None)
-@given(st.lists(st.tuples(st.integers(0, 9), st.sampled_from([0.25, 1.0, 2.0, 4.0]), st.booleans()), max_size=40),
-       st.integers(0, 1000))  # fmt: skip
+@given(
+    st.lists(st.tuples(st.integers(0, 9), st.sampled_from([0.25, 1.0, 2.0, 4.0]), st.booleans()), max_size=40),
+    st.integers(0, 1000),
+)
 def test_draws_follow_the_weights_through_changes(steps: list[tuple[int, float, bool]], seed: int) -> None:
     """Guards the structure: places that are moved by a removal, a largest weight that is gone."""
     draw, model = Draw(), dict[str, float]()
@@ -312,8 +322,17 @@
 
 
 # ---- In simulated time
-@pytest.mark.parametrize("case", ["0.9 of capacity", "one ten times slower", "a call in 8 s a front",
-                                  "one says it is empty", "all news 2 s late", "half cut off from half"])  # fmt: skip
+@pytest.mark.parametrize(
+    "case",
+    [
+        "0.9 of capacity",
+        "one ten times slower",
+        "a call in 8 s a front",
+        "one says it is empty",
+        "all news 2 s late",
+        "half cut off from half",
+    ],
+)
 def test_in_simulated_time_every_case_is_above_two_choices_by_ones_own_view(case: str) -> None:
     """Guards the policy as a whole; the oracle's figures beside it are in the benchmark."""
     ours, today = (play(case, policy, 10, 20, 5) for policy in ("ours", "two choices"))
--- a/tests/test_spread_tier.py
+++ b/tests/test_spread_tier.py
@@ -53,9 +53,10 @@
     """Guards the tier from the faults that are no silence: a kill with work in hand and a return cold, runs that all
     fail at once, an address that accepts and says nothing, a process that drains, one that is taken off the list."""
     with (
-        socket.create_server(("127.0.0.1", 0)) as mute, Field() as field,
+        socket.create_server(("127.0.0.1", 0)) as mute,
+        Field() as field,
         Tier(field, 3, [1.0] * 8, seed=5, slots=8, extra=[mute.getsockname()[1]]) as tier,
-    ):  # fmt: skip
+    ):
 
         async def faults() -> None:
             await asyncio.sleep(0.6)
@@ -91,9 +92,11 @@
         async def work() -> None:
             async def commits(count: int, mark: bytes) -> list[Call]:
                 now = asyncio.get_running_loop().time()
-                return list(await asyncio.gather(
-                    *(tier.call("f0", "approve-commit", b"once %s %d" % (mark, n), now) for n in range(count))
-                ))  # fmt: skip
+                return list(
+                    await asyncio.gather(
+                        *(tier.call("f0", "approve-commit", b"once %s %d" % (mark, n), now) for n in range(count))
+                    )
+                )
 
             assert {call.status for call in await commits(8, b"a")} == {200}
             field.stop("b0")
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -18,20 +18,43 @@
     "customers": [{"name": "t", "allowance-per-s": 10.0, "portion": 1.0}],
     "callers": {"marks-retry": True},
     "extra": {
-        "below": "shared", "calls-by-class": [True], "class-skip-worth": [0.3], "cold": True, "cores": 6,
-        "dep-window": 5.0, "fair-calls": 5.0, "fresh": 0.0,
-        "gauges": ["core_use", "on_cores", "heap_share", "links"], "halt": "abort", "idle": 15.0,
-        "key-kb": 9.0, "linger": 0.2, "memory-kb": 1000.0, "registry-follows": True, "run-factor": 16.0,
-        "said-for": 1.0, "say": "threshold", "tells-gone": True, "upstreams": 3, "unheard-of": [1],
+        "below": "shared",
+        "calls-by-class": [True],
+        "class-skip-worth": [0.3],
+        "cold": True,
+        "cores": 6,
+        "dep-window": 5.0,
+        "fair-calls": 5.0,
+        "fresh": 0.0,
+        "gauges": ["core_use", "on_cores", "heap_share", "links"],
+        "halt": "abort",
+        "idle": 15.0,
+        "key-kb": 9.0,
+        "linger": 0.2,
+        "memory-kb": 1000.0,
+        "registry-follows": True,
+        "run-factor": 16.0,
+        "said-for": 1.0,
+        "say": "threshold",
+        "tells-gone": True,
+        "upstreams": 3,
+        "unheard-of": [1],
     },
     "limits": {"max-retry-after": 1.0, "retry-after": True},
-    "obligations": {"answer-slack": 0.08, "cold": 18.0, "cold-from": 0.2, "drain-grace": 2.5,
-                    "fall-multiple": 5.0, "tip-after": 3.0},
+    "obligations": {
+        "answer-slack": 0.08,
+        "cold": 18.0,
+        "cold-from": 0.2,
+        "drain-grace": 2.5,
+        "fall-multiple": 5.0,
+        "tip-after": 3.0,
+    },
     "peers-total": 11,
-    "profiles": [{"aim": 3.0, "credit": 1.0, "deadline": 9.0, "effect": "guarded", "late-worth": 0.1,
-                  "name": "c", "window": 5.0}],
+    "profiles": [
+        {"aim": 3.0, "credit": 1.0, "deadline": 9.0, "effect": "guarded", "late-worth": 0.1, "name": "c", "window": 5.0}
+    ],
     "value-by": "work",
-}  # fmt: skip
+}
 
 
 def record(code: int, packed: bytes = b"") -> bytes:
