--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -1,7 +1,8 @@
 """The tests that are known to fail for a real fault: read, checked and printed for the test run.
 
-``KNOWN-RED.txt`` at the root has one line for each, ``TEST | CAUSE | ISSUE``, with the test's id as pytest prints it
-and the number of an open issue; empty lines do not count. At most three may stand there. The file may be empty or absent.
+``KNOWN-RED.txt`` at the root has one line for each, ``TEST | CAUSE | ISSUE``: the test's id as pytest prints it, why it
+fails, and the number of an open issue. Empty lines do not count. At most three may stand there. The file may be empty
+or absent.
 
 Prints what stands there on standard error and the arguments for pytest, one a line, on standard output. Exits 2 where
 the file is wrong, names a test that is not there, or names more tests than may be.
