--- a/benchmarks/pools.py
+++ b/benchmarks/pools.py
@@ -229,7 +229,7 @@
                 "light_served": min(each["served"] for each in light),
                 "light_waited_s": max(each["waited_s"] for each in light),
                 "light_longest_s": max(each["longest_s"] for each in light),
-                "crowd": max(r["worst_crowd"] for r in by[kind]),
+                "concurrency": max(r["worst_concurrency"] for r in by[kind]),
                 "memory": max(r["worst_memory"] for r in by[kind]),
                 "falls": sum(r["falls"] for r in by[kind]),
                 "broken": sum(r["commits_twice"] + r["late_answers"] + r["late_tries"] for r in by[kind]),
@@ -246,8 +246,8 @@
         # Where the two stand within noise of another, the bar is that nothing is lost.
         if ours["worth"] < alone["worth"] - (0.01 if name == "calm" else 0.003):
             missed.append(f"{name}: worth {ours['worth']} under the module's {alone['worth']}")
-        if ours["crowd"] >= 6.0 or ours["memory"] >= 1.0:
-            missed.append(f"{name}: crowd {ours['crowd']}, memory {ours['memory']}")
+        if ours["concurrency"] >= 6.0 or ours["memory"] >= 1.0:
+            missed.append(f"{name}: concurrency {ours['concurrency']}, memory {ours['memory']}")
     if figures["slow/on"]["worth"] <= figures["slow/off"]["worth"]:
         missed.append("slow: worth is not above the module alone")
     if speeds["notice_mean_s"] > 2.0 or speeds["undetected"]:
@@ -275,7 +275,7 @@
         "light served",
         "light waited s",
         "light longest s",
-        "crowd",
+        "concurrency",
         "memory",
         "falls",
         "broken",
--- a/benchmarks/spread.py
+++ b/benchmarks/spread.py
@@ -36,7 +36,7 @@
 SHORT_SIZE, LONG_SIZE = (20, 40), (50, 100)
 TODAY = "two choices"
 # Clients of the library before real servers, some stopped: as measured at the size, and a small one.
-MUTE: dict[str, Any] = {"servers": 24, "clients": 200, "rate": 100.0, "stopped": 5}
+SILENT: dict[str, Any] = {"servers": 24, "clients": 200, "rate": 100.0, "stopped": 5}
 SHORT_MUTE: dict[str, Any] = {
     "servers": 6,
     "clients": 24,
@@ -376,16 +376,16 @@
         sockets += [{"fronts": 20, "processes": 40, "load": 0.5, "seconds": 12.0, "policy": "", "fault": "stop"}]
     if args.short:
         both = [{**SHORT_MUTE, "seed": args.seed, "asks": asks} for asks in (True, False)]
-        mutes = trials("lapishaven.lab.field.mute", both, 2)
+        silent_ones = trials("lapishaven.lab.field.silent", both, 2)
     else:
-        mutes = [
-            trials("lapishaven.lab.field.mute", [{**MUTE, "rate": rate, "seed": args.seed, "asks": asks}], 1)[0]
+        silent_ones = [
+            trials("lapishaven.lab.field.silent", [{**SILENT, "rate": rate, "seed": args.seed, "asks": asks}], 1)[0]
             for rate in (60.0, 100.0, 160.0)
             for asks in (True, False)
         ]
     on_sockets = [trials(MODULE, [{"kind": "real", "seed": args.seed, **each}], 1)[0] for each in sockets]
     drawn = [costs(size, args.seed) for size in ((10, 1000) if args.short else (10, 100, 1000, 10_000))]
-    report(args, found, peak["peak"], on_sockets, drawn, mutes, alike, largest)
+    report(args, found, peak["peak"], on_sockets, drawn, silent_ones, alike, largest)
 
 
 def report(
@@ -394,7 +394,7 @@
     peak: float,
     on_sockets: list[dict[str, Any]],
     drawn: list[dict[str, float]],
-    mutes: list[dict[str, Any]],
+    silent_ones: list[dict[str, Any]],
     alike: list[dict[str, Any]],
     largest: list[dict[str, Any]],
 ) -> None:
@@ -436,7 +436,7 @@
                 missed.append(f"p99 {row['p99']} on sockets, {twin['p99']} simulated: {row}")
     if largest and (largest[0]["p99"] > 1.1 * by[NINE, 1000]["ours"]["p99"] or largest[0]["idle"] > 0.01):
         missed.append(f"it grows with size: {largest[0]}")
-    for row in mutes:
+    for row in silent_ones:
         if row["asks"] and (
             row["late"] > 0.03
             or row["to_silent_after_1_s"]
@@ -454,7 +454,7 @@
         "sockets": on_sockets,
         "simulated_alike": alike,
         "largest": largest,
-        "stopped": [{key: row[key] for key in MUTE_KEYS} for row in mutes],
+        "stopped": [{key: row[key] for key in MUTE_KEYS} for row in silent_ones],
         "cost_us": drawn,
         "cases": [
             {k: row[k] for k in ("case", "processes", "policy", "p99", "on_time", "busiest", "idle", "probes", "tries")}
@@ -502,7 +502,9 @@
         sim = ["fronts", "processes", "slots", "policy", "p50", "p99", "on_time", "busiest", "idle", "probes", "real_s"]
         text += table([key.replace("_", " ") for key in sim], [[row[key] for key in sim] for row in alike + largest])
         text += "\n\nThe client library before real match servers of which a fifth is stopped for 8 s:\n\n"
-        text += table([key.replace("_", " ") for key in MUTE_KEYS], [[row[key] for key in MUTE_KEYS] for row in mutes])
+        text += table(
+            [key.replace("_", " ") for key in MUTE_KEYS], [[row[key] for key in MUTE_KEYS] for row in silent_ones]
+        )
         head = list(drawn[0])
         text += "\n\nMicroseconds for a draw after a change of weight, and for a whole choice:\n\n"
         text += table(head, [[row[k] for k in head] for row in drawn])
--- a/cometdrum/controller.py
+++ b/cometdrum/controller.py
@@ -20,13 +20,13 @@
 WINDOW = 10  # samples, so one second: short against every aim, long against the noise of a poll
 LOWER = 0.95  # average busy share from which refusing starts: cores that are not full need no refusal
 UPPER = 1.7  # where all are refused: waiting work of half a shortest aim or more on top of full cores
-FULL = 0.8  # latest busy share that counts as nearly all busy: below it the coin stays in the pocket
+FULL = 0.8  # latest busy share that counts as nearly all busy: below it nothing is refused by chance
 STEP = 0.25  # the running limit grows by this part of itself a poll
 CUT = 0.8  # and is cut to this part
 CLIMB = 4.0  # run latency over its base that counts as well past it: the base is the least of few runs
 SLOW = 2.5  # call time over its base that counts as slow: one base for all calls, so a steadier one
-CROWDED = 2.0  # runs on the cores, for each, past which the limit is cut: crowded cores do less in total
-CROWD = 0.85  # part of the survivable crowd used as a ceiling: reading and late outcomes need the rest
+CUT_CONCURRENCY = 2.0  # runs a core past which the limit is cut: such cores do less in total
+SAFE_CONCURRENCY = 0.85  # part of the concurrency that is survived used as a ceiling: reading needs the rest
 MEMORY = 0.92  # part of the memory booked at most: what was read in the next batch comes on top
 MARGIN = 1.5 * POLL  # s before the due time at which the answer goes out: the poll may be that late
 EARLY = 1.0  # of its mean time that must be left to a run: those begun with less mostly came too late
@@ -168,7 +168,7 @@
 
     # ---- Window and chance
     def _sample(self, poll: i.Poll) -> None:
-        # Stall guard: at the crowd ceiling nothing more can start however idle the cores look (work or the
+        # Stall guard: at the concurrency ceiling nothing more can start however idle the cores look (work or the
         # dependency stands still), so that counts as busy. Harm: long waits for disk look like a stall.
         stalled = sum(self.count[RUNNING:PAUSED]) + 1 > self._ceiling()
         self.busy = 1.0 if stalled or poll.cpu is None and self.held else poll.cpu or 0.0
@@ -211,20 +211,20 @@
         climbed = any(self._climb(n) > CLIMB for n in range(len(self.s.classes)))
         # Room comes first: a class that no longer gets to run keeps a stale, high latency, and a cut on that
         # alone held the limit at its floor with idle cores and a hundred requests waiting. Only runs count
-        # as a crowd: cut for the reads and handshakes on the cores, they would leave the cores to those.
+        # as concurrency: cut for the reads and handshakes on the cores, they would leave the cores to those.
         if room and self.held and self.count[RUNNING] + 1 > self.limit:
             self.limit += max(1.0, STEP * self.limit)
-        elif not room and (climbed or min(wanted, self.count[RUNNING]) > CROWDED * cores):
+        elif not room and (climbed or min(wanted, self.count[RUNNING]) > CUT_CONCURRENCY * cores):
             self.limit *= CUT
         self.limit = max(float(cores), min(self.limit, self._ceiling()))
 
     def _ceiling(self) -> float:
-        """Crowd guard: runs that even the slowest allowed warm-up survives, those at a call included."""
+        """Concurrency guard: runs that even the slowest allowed warm-up survives, those at a call included."""
         share = 1.0
         if self.s.cold and self.s.cold_span > 0:
             warm = min(1.0, (self.now - self.born) / self.s.cold_span)
             share = self.s.cold_from + (1.0 - self.s.cold_from) * warm
-        return max(1.0, CROWD * self.s.cores * (1.0 + (self.s.fall_multiple - 1.0) * share))
+        return max(1.0, SAFE_CONCURRENCY * self.s.cores * (1.0 + (self.s.fall_multiple - 1.0) * share))
 
     # ---- Admission at read
     def _arrival(self, a: i.Arrival) -> None:
@@ -255,8 +255,8 @@
             return
         least = min(map(self._worth, range(len(self.s.classes))))
         r.value *= self._worth(a.cls) / least if least > 0 else 1.0
-        # The coin is the caller's place inside its class, so a retry does not toss anew. The window lags a
-        # surge's end; what waits now bounds its chance, so that a dry hold is not refused into idling.
+        # The refusal probability is compared with the caller's place in its class, so a retry draws nothing anew.
+        # The window lags a surge's end; what waits now bounds it, so that a dry hold is not refused into idling.
         r.place = (a.rank * len(self.s.classes)) % 1.0 if a.rank > 0 else self.rng.random()
         pressed = self.busy >= FULL and (len(self.held) > 1 or self.unread > POLL)
         pools = self.pools
@@ -381,7 +381,7 @@
         while self.lingering and self.lingering[0] <= self.now:
             self.lingering.popleft()
         # Dependency guard: once calls take well over their base, what cannot call at once goes without it.
-        # Else all stand in line for what is crowded and fall due. Harm: poorer answers in a short slowness.
+        # Else all stand in line for what is overloaded and fall due. Harm: poorer answers in a short slowness.
         slow = self._climb(-1) > SLOW
         for _ in range(len(self.calls_waiting)):
             r = self.requests.get(self.calls_waiting[0])
--- a/cometdrum/interface.py
+++ b/cometdrum/interface.py
@@ -167,7 +167,7 @@
     """Pools by class, which the Controller asks where there are any. Times as in ``handle``; all pure."""
 
     def guards(self, cls: int) -> bool:
-        """Whether the class is within what is guaranteed to it, so that the window's coin spares it."""
+        """Whether the class is within what is guaranteed to it, so that it is not refused by chance."""
 
     def full(self, now: float, cls: int, aim_at: float, due: float) -> tuple[str, float] | None:
         """Why there is no room, and in how many seconds there will be; ``None`` where there is."""
--- a/lapishaven/callers.py
+++ b/lapishaven/callers.py
@@ -11,7 +11,7 @@
 
 WHOLE = 2.0  # s for a message to come whole, the first one counted from the accept
 SWEEP = 0.05  # s between looks for idle connections
-CLOSED_AT_ONCE = 16  # a full table begins to close one in so many, so that a crowd finds room without a wait for each
+CLOSED_AT_ONCE = 16  # a full table begins to close one in so many, so that a burst finds room without a wait for each
 
 
 class Callers:
@@ -45,7 +45,7 @@
     def make_room(self) -> bool:
         """Begin to close connections that have long been idle, and say whether a descriptor is free by now.
 
-        Each in turn is let off once for a whole message since the last look, so that a crowd which says
+        Each in turn is let off once for a whole message since the last look, so that connections which say
         nothing goes before callers that come back.
         """
         if self._room.free():
--- a/lapishaven/lab/emulator.py
+++ b/lapishaven/lab/emulator.py
@@ -104,7 +104,7 @@
     gone_at: float = 0.0
     links: dict[int, tuple[int, Any]] = field(default_factory=dict)
     falls: int = 0
-    worst_crowd: float = 0.0
+    worst_concurrency: float = 0.0
     worst_memory: float = 0.0
     counters: Counters = field(default_factory=Counters)
     pools: Pools | None = None
@@ -202,7 +202,7 @@
             self.broker.finished(run.handle, Outcome.OK, e.now - run.began, run.body)
         booked = sum(30.0 * 16.0 for _ in self.cores.runs) + 30.0 * len(self.broker.requests)
         self.worst_memory = max(self.worst_memory, booked / (self.box.memory_runs * self.box.cores * 16.0 * 30.0))
-        self.worst_crowd = max(self.worst_crowd, self.cores.crowded)
+        self.worst_concurrency = max(self.worst_concurrency, self.cores.crowded)
         if self.cores.fallen:
             self.falls += 1
             return e.fell(self)
@@ -425,7 +425,7 @@
             **found,
             "classes": by_class,
             "falls": sum(m.falls for m in machines),
-            "worst_crowd": round(max(m.worst_crowd for m in machines), 2),
+            "worst_concurrency": round(max(m.worst_concurrency for m in machines), 2),
             "worst_memory": round(max(m.worst_memory for m in machines), 3),
             "late_answers": sum(m.late for m in machines),
         }
--- a/lapishaven/lab/field/mute.py
+++ b/lapishaven/lab/field/silent.py
@@ -1,6 +1,6 @@
 """Clients of the library before match servers of which some are stopped: what their calls met.
 
-``python -m lapishaven.lab.field.mute SPEC`` prints one JSON object.
+``python -m lapishaven.lab.field.silent SPEC`` prints one JSON object.
 """
 
 from __future__ import annotations
--- a/lapishaven/net/conn.py
+++ b/lapishaven/net/conn.py
@@ -229,7 +229,7 @@
         self.loop.senders.discard(self)
         if self._patience is not None:
             self._patience.cancel()
-        # Let go of at once: what refers to a connection may live on, and crowds come by the hundred. What was
+        # Let go of at once: what refers to a connection may live on, and connections come by the hundred. What was
         # received before the peer's end is still there for the reader.
         self.out = Ring(0)
         if self.closing is not None or not self.ins.size:
--- a/lapishaven/net/listener.py
+++ b/lapishaven/net/listener.py
@@ -8,7 +8,7 @@
 
 from lapishaven.net.loop import Loop, Timer
 
-ACCEPTS = 64  # connections taken in one wake-up, so that a crowd at the door does not starve the rest
+ACCEPTS = 64  # connections taken in one wake-up, so that a burst of them does not starve the rest
 FULL_WAIT = 0.02  # s until the next look, where there is no descriptor for who waits at the door
 
 
--- a/lapishaven/ownership/member.py
+++ b/lapishaven/ownership/member.py
@@ -26,8 +26,8 @@
     settle: float = 0.5
     flap_limit: float = 30.0
     calm: float = 60.0  # as a member, after which its earlier joins are forgotten
-    poll: float = 0.3  # between two looks for news, with up to ``crowd`` members; in proportion with more
-    crowd: int = 50
+    poll: float = 0.3  # between two looks for news, with up to ``poll_members`` members; in proportion with more
+    poll_members: int = 50
     quick: float = 0.04  # between looks while something is being handed to this member
     hand_wait: float = 0.8  # a leaving member goes on acting this long, so that its heirs look out
     spread: float = 1.0  # over which claims and joins after an outage are spread
@@ -360,8 +360,8 @@
             self._lose(now, "the session is over")
 
     def _pause(self) -> float:
-        crowd = len(self.view.members) / self.rules.crowd if self.view is not None else 1.0
-        return self.rules.poll * max(1.0, crowd) * self.random.uniform(0.7, 1.3)
+        share = len(self.view.members) / self.rules.poll_members if self.view is not None else 1.0
+        return self.rules.poll * max(1.0, share) * self.random.uniform(0.7, 1.3)
 
     def _in(self, now: float, session: int, joins: int) -> None:
         self.session = session
--- a/lapishaven/pools/capacity.py
+++ b/lapishaven/pools/capacity.py
@@ -1,4 +1,4 @@
-"""What a box can do, measured on line: its speed, how crowded it may be, and whether it has just slowed. Pure.
+"""What a box can do, measured on line: its speed, what concurrency it bears, and whether it has just slowed. Pure.
 
 The unit of work is a second on a free core of this box at its usual speed. A run of a class has so much work in the
 mean, learnt as the core time that its runs attained. Core time is counted by a virtual clock that advances by
@@ -19,8 +19,8 @@
 LEAST_BUSY = 0.8  # core-seconds in the fast window from which its speed is believed
 RATIO = 0.25  # part of a new run in the ratio of a class's last runs to its usual work
 RECENT = 1.0  # s since a class's last run in which that ratio says something
-LEVEL = 0.5  # runs a core in one step of crowding
-KNEE = 0.88  # of the best efficiency under which a level of crowding costs more than it brings
+LEVEL = 0.5  # runs a core in one step of concurrency
+KNEE = 0.88  # of the best efficiency under which a level of concurrency costs more than it brings
 EFFICIENCY = 0.03  # part of a new sample in a level's efficiency
 SEEN = 20.0  # core-seconds at a level from which its efficiency counts
 FLOOR = 0.02  # the speed is never held for less, so that times stay finite
@@ -36,7 +36,7 @@
 
 @dataclass(slots=True)
 class Level:
-    """One level of crowding: core time spent there, and work done."""
+    """One level of concurrency: core time spent there, and work done."""
 
     spent: float = 0.0
     efficiency: float = 1.0
@@ -204,7 +204,7 @@
         seen = min(2.0, done / (spent * self.speed_now()))
         level.efficiency += EFFICIENCY * (seen - level.efficiency)
 
-    def crowd(self) -> float:
+    def concurrency(self) -> float:
         """Runs a core past which the box gets less done in total, as far as was seen; infinite where it was not."""
         known = [level.efficiency for level in self._levels if level.spent >= SEEN]
         best = max(known, default=1.0)
--- a/lapishaven/pools/pools.py
+++ b/lapishaven/pools/pools.py
@@ -61,7 +61,7 @@
         self.running: dict[int, Running] = {}
         self.limit = float(settings.cores)
         self._held: dict[int, tuple[int, float]] = {}  # class, since when
-        self.worst_crowd = 0.0  # the most runs a core so far
+        self.worst_concurrency = 0.0  # the most runs a core so far
         self._arrange(rules)
 
     def _arrange(self, rules: PoolSettings) -> None:
@@ -171,7 +171,7 @@
         pool.short_since = None
         self.running[id] = Running(cls, entry.pool, entry.work, entry.kb, entry.aim_at, entry.due, now)
         self.capacity.started(now, id, cls)
-        self.worst_crowd = max(self.worst_crowd, len(self.running) / self.settings.cores)
+        self.worst_concurrency = max(self.worst_concurrency, len(self.running) / self.settings.cores)
 
     def dropped(self, id: int) -> None:
         """It no longer waits, and never ran."""
@@ -207,14 +207,14 @@
 
     def _adapt(self, poll: Poll) -> None:
         """As many runs as there are cores keep them busy; more only where runs leave the cores idle, as they wait
-        for something else, and never past the crowd that was seen to cost."""
+        for something else, and never past the concurrency that was seen to cost."""
         cores = float(self.settings.cores)
         idle = poll.cpu is not None and 0.0 <= poll.cpu < IDLE_CORES
         if idle and len(self.ready) and len(self.running) >= self.limit:
             self.limit += 1.0
         elif not idle and self.limit > cores:
             self.limit -= 0.5
-        most = min(self.settings.fall_multiple * 0.8, self.capacity.crowd()) * cores
+        most = min(self.settings.fall_multiple * 0.8, self.capacity.concurrency()) * cores
         self.limit = max(cores, min(self.limit, most))
 
     def _take_back(self, now: float) -> list[int]:
@@ -263,7 +263,7 @@
             "running": len(self.running),
             "held": len(self.ready),
             "slow_downs": self.capacity.alarms,
-            "worst_crowd": round(self.worst_crowd, 2),
+            "worst_concurrency": round(self.worst_concurrency, 2),
         }
         for n, pool in enumerate(self.pools):
             found |= {
--- a/tests/client_world.py
+++ b/tests/client_world.py
@@ -52,7 +52,7 @@
         self.at: dict[str, list[float]] = {"dial": [], "try": []}
         self.dead: set[str] = set()  # servers that refuse connections
         self.closed: list[Connection] = []
-        self.mute: set[str] = set()  # servers that were stopped: their kernel takes all, nothing is answered
+        self.silent: set[str] = set()  # servers that were stopped: their kernel takes all, nothing is answered
         self.act()
 
     def act(self) -> None:
@@ -69,7 +69,7 @@
                 elif isinstance(action, Probe):
                     self.probes.append(action.peer)
                 elif isinstance(action, Ask):
-                    if action.connection.peer.name not in self.mute:
+                    if action.connection.peer.name not in self.silent:
                         self.policy.well(self.now, action.connection)
                 elif isinstance(action, Close):
                     self.closed.append(action.connection)
--- a/tests/test_client_driver.py
+++ b/tests/test_client_driver.py
@@ -160,7 +160,7 @@
 
 # Guards against a run that goes on for nobody, and against a task or descriptor left behind.
 def test_cancelling_forgets_and_nothing_is_left_behind() -> None:
-    async def mute(at: Scripted, message: dict[str, Any]) -> None:
+    async def silent(at: Scripted, message: dict[str, Any]) -> None:
         heard.set()
         if message["method"] == "forget":
             forgot.set()
@@ -181,7 +181,7 @@
         return log[1]["params"]["call"] == log[0]["params"]["call"], (await waiting).uncertain
 
     before, threads = len(os.listdir("/proc/self/fd")), threading.active_count()
-    assert play(mute, test) == (True, True)
+    assert play(silent, test) == (True, True)
     assert (len(os.listdir("/proc/self/fd")), threading.active_count()) == (before, threads)
 
 
--- a/tests/test_client_fleet.py
+++ b/tests/test_client_fleet.py
@@ -138,16 +138,16 @@
 def test_a_server_that_accepts_and_never_answers() -> None:
     world = world_of_a_catalog("n1", "n2", "n3", health=replace(settings().health, probe_timeout_s=0.1))
     world.go(0.1)
-    mute = world.policy.peers["n1"] if "n1" in world.policy.peers else next(iter(world.policy.peers.values()))
+    stopped = world.policy.peers["n1"] if "n1" in world.policy.peers else next(iter(world.policy.peers.values()))
     spans = []
     for _ in range(200):
         call = world.call()
         world.go(0.05)
         for probe in world.probes:
-            world.policy.probed(world.now, probe, probe is not mute)
+            world.policy.probed(world.now, probe, probe is not stopped)
         world.probes.clear()
         for attempt in [a for c in world.policy.open_connections() for a in list(c.open.values())]:
-            if attempt.sent is not None and attempt.peer is not mute:
+            if attempt.sent is not None and attempt.peer is not stopped:
                 world.reply(attempt)
         end = world.outcome(call)
         if end is not None:
--- a/tests/test_client_policy.py
+++ b/tests/test_client_policy.py
@@ -227,31 +227,31 @@
 def test_a_silent_server_is_asked_and_left_out() -> None:
     world = ready(servers=2)
     calls = [world.call() for _ in range(8)]
-    mute = world.sent[-1].peer
-    for attempt in [a for a in world.sent if a.peer is not mute and a.call in calls]:
+    stopped = world.sent[-1].peer
+    for attempt in [a for a in world.sent if a.peer is not stopped and a.call in calls]:
         world.reply(attempt)
     world.go(2.6)
-    assert world.probes == [mute]
-    world.policy.probed(world.now, mute, False)
+    assert world.probes == [stopped]
+    world.policy.probed(world.now, stopped, False)
     world.act()
-    assert mute.health.standing is Standing.OUT
+    assert stopped.health.standing is Standing.OUT
     world.go(0.2)
     world.serve_all()
     assert all(world.outcome(call).served for call in calls if call.number in world.outcomes)
     # The way back: a probe, one trial, and then in.
     world.go(2.0)
-    assert world.probes[-1] is mute and len(world.probes) == 2
-    world.policy.probed(world.now, mute, True)
-    while not mute.open:
+    assert world.probes[-1] is stopped and len(world.probes) == 2
+    world.policy.probed(world.now, stopped, True)
+    while not stopped.open:
         world.call()
         world.go(0.05)
-        for attempt in [a for a in world.sent if a.peer is not mute and a.id in a.connection.open]:
+        for attempt in [a for a in world.sent if a.peer is not stopped and a.id in a.connection.open]:
             world.reply(attempt)
     for _ in range(6):
         world.call()
-        assert mute.open == 1
+        assert stopped.open == 1
     world.serve_all()
-    assert mute.health.standing is Standing.IN
+    assert stopped.health.standing is Standing.IN
 
 
 # Guards against leaving out everything when everything fails: then the fault is not the servers'.
--- a/tests/test_client_silence.py
+++ b/tests/test_client_silence.py
@@ -7,7 +7,7 @@
 from client_world import ClientWorld, Health, Retry, listing, settings
 
 from lapishaven.client.outcomes import Served, Uncertain
-from lapishaven.lab.field import mute
+from lapishaven.lab.field import silent
 
 ASKS = Health(watch_s=0.3)
 FREE = Retry(share=0.5, floor_per_s=10.0, burst=20.0)  # a budget that does not bind
@@ -27,27 +27,27 @@
     there = world()
     calls = [there.call() for _ in range(8)] + [there.call("approve-commit") for _ in range(8)]
     held = {attempt.call.number: attempt for attempt in there.sent if attempt.call in calls}
-    mute = held[calls[0].number].peer.name
-    there.mute.add(mute)
-    waits = [call for call in calls if held[call.number].peer.name == mute]
+    silenced = held[calls[0].number].peer.name
+    there.silent.add(silenced)
+    waits = [call for call in calls if held[call.number].peer.name == silenced]
     commits = [call for call in waits if not call.safe]
     assert commits and len(waits) > len(commits)
     for attempt in held.values():
-        if attempt.peer.name != mute:
+        if attempt.peer.name != silenced:
             there.reply(attempt)
     there.go(0.55)  # asked after 0.3 s, silent 0.15 s later
     for call in waits:
         tries = [attempt for attempt in there.sent if attempt.call is call]
-        assert len(tries) == (2 if call.safe else 1) and all(a.peer.name != mute for a in tries[1:])
+        assert len(tries) == (2 if call.safe else 1) and all(a.peer.name != silenced for a in tries[1:])
     assert {a.call.number for a in there.withdrawn} == {call.number for call in waits if call.safe}
     there.go(0.7)
     assert all(isinstance(there.outcome(call), Uncertain) for call in commits)
-    there.mute.clear()
+    there.silent.clear()
     there.go(2.5)  # a suspect is asked at most 2 s apart, and has its part again after one answer
     there.serve_all()
     there.call()
     there.go(0.5)
-    assert there.policy.peers[mute].suspected is None
+    assert there.policy.peers[silenced].suspected is None
 
 
 def test_one_that_closes_what_rests_is_dialled_for_each_call_and_none_is_refused() -> None:
@@ -90,8 +90,8 @@
 def test_clients_send_nothing_to_servers_that_were_stopped_a_second_ago() -> None:
     """Guards the judging of silence in the client: without the questions a stopped server goes on being chosen, as its
     kernel takes connections and requests all the same."""
-    spec = mute.Spec(servers=6, clients=24, rate=40.0, stopped=2, settle=4.0, span=3.0, after=1.0)
-    found = asyncio.run(mute.run(spec))
+    spec = silent.Spec(servers=6, clients=24, rate=40.0, stopped=2, settle=4.0, span=3.0, after=1.0)
+    found = asyncio.run(silent.run(spec))
     assert found["to_silent_after_1_s"] == 0 and found["commits_twice"] == 0
     assert found["asks_a_call"] > 0 and found["calls"] > 60
     assert found["late"] < 0.1  # the loss is that of the first instants
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -146,10 +146,10 @@
     c.handle(0.1, [poll(0.3, 1.0)])
     assert c.limit == 4.0
     c.limit = 12.0
-    c.handle(0.2, [poll(1.0, 4 * c_.CROWDED + 1)])
+    c.handle(0.2, [poll(1.0, 4 * c_.CUT_CONCURRENCY + 1)])
     assert c.limit == 12.0  # reading and handshakes, not runs
-    c.count[2] = 4 * int(c_.CROWDED) + 1
-    c.handle(0.2, [poll(1.0, 4 * c_.CROWDED + 1)])
+    c.count[2] = 4 * int(c_.CUT_CONCURRENCY) + 1
+    c.handle(0.2, [poll(1.0, 4 * c_.CUT_CONCURRENCY + 1)])
     assert c.limit == pytest.approx(12.0 * c_.CUT)
 
 
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -141,17 +141,17 @@
         """)
 
 
-class Crowd(World):
-    # Guards against death by crowd: callers beyond the descriptors push out who is idle, never who waits.
+class FullTable(World):
+    # Guards against death by too many: callers beyond the descriptors push out who is idle, never who waits.
     def test_a_crowd_stays_within_the_budget_and_the_busy_are_served(self) -> None:
         self.play("send c1 1 fuzzy-match\nexpect vm CONNECT 0\nexpect vm APPLY c1.1")
         room = self.server.budget.room
-        crowd = [socket.create_connection(self.server.listeners[0].address) for _ in range(room + 40)]
+        many = [socket.create_connection(self.server.listeners[0].address) for _ in range(room + 40)]
         for _ in range(4000):
             self.now += 0.001
             self.server.loop.round(0, self.server.turn)
             self.assertLessEqual(self.server.budget.used, room)
-            if self.server.counters.get("connections", "accepted") == len(crowd) + 1:
+            if self.server.counters.get("connections", "accepted") == len(many) + 1:
                 break
         # These peers never answer a half-close. Each is left once nothing can cross it any more, and no more of them
         # are than are needed, and one batch.
@@ -159,7 +159,7 @@
         self.assertGreaterEqual(evicted, 41)
         self.assertLessEqual(evicted, 41 + room // CLOSED_AT_ONCE)
         self.play("send vm OK c1.1\nexpect c1 result 1")
-        for sock in crowd:
+        for sock in many:
             sock.close()
 
 
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -493,7 +493,7 @@
 def test_hard_days_break_no_rule_and_starve_nobody(day: dict[str, Any]) -> None:
     found = emulate(**day)
     assert found["falls"] == found["commits_twice"] == found["late_answers"] == 0
-    assert found["worst_crowd"] < 6.0 and found["worst_memory"] < 1.0
+    assert found["worst_concurrency"] < 6.0 and found["worst_memory"] < 1.0
     if "only" not in day:
         light, commits = found["classes"]["glossary-look-up"], found["classes"]["approve-commit"]
         assert light["served"] >= 0.99 and light["longest_s"] <= 0.6
