Take the run guard out of the broker, into a module with one job

core/guard.py has which tries and effects were started, for how long that is remembered and what a barred request is told; it stood in the broker in five places.

--- a/lapishaven/core/broker.py
+++ b/lapishaven/core/broker.py
@@ -15,6 +15,7 @@
 from cometdrum.controller import Controller
 from lapishaven.core import tally
 from lapishaven.core.contracts import Contracts, Denied
+from lapishaven.core.guard import RunGuard
 from lapishaven.core.keys import KeyTable
 from lapishaven.core.model import (
     Answer,
@@ -29,16 +30,12 @@
     State,
     Submission,
 )
-from lapishaven.core.once import OnceGuard
 from lapishaven.counters import Counters
 
 IDS = 1 << 32
 GAUGE_WAIT = 0.25  # s; a poll goes to the module without gauges after this, so its timers never stand still
 LEAVE_ROOM = 0.2  # s before the kill at which all that is left is answered: time for its way out, however slow the box
-ONCE_LIFE = 900.0  # s for a key; far longer than any caller keeps a try
-TRY_LIFE = 75.0  # s for a try's name: a copy bears its time, and one from over a minute ago is an error
 NEVER_RAN = (i.Outcome.FULL, i.Outcome.UNREACHED)  # outcomes that prove it
-CLOCK_SLACK = 1.0  # s by which callers' clocks and what is under way may stretch a window
 BACKEND_WAIT = 1.0  # s to keep away after the backend could not be reached or turned an attempt away
 ORPHAN = 60.0  # s past its due time after which an attempt whose end was never told is let go
 
@@ -67,9 +64,9 @@
         self.classes = {spec.name: n for n, spec in enumerate(settings.classes)}
         self.requests: dict[int, Request] = {}
         self.by_handle: dict[str, Request] = {}
-        # A name takes some 200 bytes, so each guard up to a tenth of the memory; a sixteenth is for results.
+        # Each of the guard's two halves takes up to a tenth of the memory; a sixteenth is for results.
         self.keys = KeyTable(memory // 16)
-        self.tries, self.effects = (OnceGuard(life, memory // 2048) for life in (TRY_LIFE, ONCE_LIFE))
+        self.guard = RunGuard(memory)
         self.draining: float | None = None
         self._kill_at = float("inf")
         self._last_id = random.Random(seed).randrange(IDS)
@@ -87,7 +84,7 @@
         if self._closed:
             self._send(sub, reply, Answer(Kind.REFUSED, reason="the server leaves", pushback=BACKEND_WAIT))
             return None
-        if sub.handle in self.by_handle or self.tries.claimed(sub.handle):
+        if sub.handle in self.by_handle or self.guard.tries.claimed(sub.handle):
             # The backend knows runs by this name, so a second request under it could meet the first one's
             # result. It may have run, so this is no refusal.
             self._send(sub, reply, Answer(Kind.FAILED, reason="this try is known already"))
@@ -159,7 +156,7 @@
 
     def remember(self, now: float, cls: str, key: str, age: float) -> None:
         """A keyed run that an earlier life of this server started, so that it is not started again."""
-        self.effects.claim(now - age, (self.classes[cls], key))
+        self.guard.remember(now - age, self.classes[cls], key)
 
     # ---- From the backend
     def finished(self, handle: str, outcome: i.Outcome, spent: float, result: bytes = b"") -> None:
@@ -187,8 +184,7 @@
         elif outcome in NEVER_RAN:
             if self.keeper is not None and self._kept(r.sub):
                 self.keeper.void(spec.name, key)
-            self.tries.release(r.sub.handle)
-            self.effects.release((r.sub.cls, r.sub.key))
+            self.guard.release(r.sub)
             r.ran = False
             self._record("unrun", r.sub, outcome.name.lower())
             self._answer(r, Answer(Kind.REFUSED, reason="the backend did not take it", pushback=BACKEND_WAIT))
@@ -231,16 +227,14 @@
             done = known.standing.value == "done"
             self.counters.add("requests", "done elsewhere" if done else "uncertain elsewhere")
             # It did not run here, and the record knows of it: a repeat is held against that, not against this.
-            self.tries.release(r.sub.handle)
-            self.effects.release((r.sub.cls, r.sub.key))
+            self.guard.release(r.sub)
             reason = "another server is at it, or was"
             self._answer(r, Answer(Kind.SERVED, known.result) if done else Answer(Kind.FAILED, reason=reason))
             self._events.append(i.Finished(r.id, 0.0, i.Outcome.MOOT))
             self._close(r, known.result if done else None)
             return
         # Nobody waits for it any more, or nothing could be recorded: either way it never ran.
-        self.tries.release(r.sub.handle)
-        self.effects.release((r.sub.cls, r.sub.key))
+        self.guard.release(r.sub)
         if self.keeper is not None:
             self.keeper.void(self.settings.classes[r.sub.cls].name, r.sub.key or "")
         self._answer(r, Answer(Kind.REFUSED, reason="its run could not be recorded", pushback=BACKEND_WAIT))
@@ -395,8 +389,7 @@
             if wait is None:
                 return
             r.state = State.HELD
-            self.tries.release(sub.handle)
-            self.effects.release((sub.cls, sub.key))
+            self.guard.release(sub)
             self.counters.add("requests", "no room to record its run")
             self._answer(r, Answer(Kind.REFUSED, reason="no room to record its run", pushback=wait))
             self._events.append(i.Finished(r.id, 0.0, i.Outcome.MOOT))
@@ -415,30 +408,12 @@
 
     def _bar(self, now: float, r: Request) -> Answer | None:
         """What keeps a request from its run; else its try is claimed, and its effect where it has a key."""
-        sub = r.sub
         if self.draining is not None and r.arrived > self.draining + self.settings.drain_grace:
             return Answer(Kind.REFUSED, reason="it came after the leave")
-        if self.settings.classes[sub.cls].effect is i.Effect.SAFE:
-            return None
-        key = (sub.cls, sub.key)
-        self.effects.expire(now)
-        if self.tries.claimed(sub.handle) or sub.key is not None and self.effects.claimed(key):
-            return Answer(Kind.FAILED, reason="it ran before")
-        if self.tries.full(now) or sub.key is not None and self.effects.full(now):
+        bar = self.guard.bar(now, r.sub, self.settings)
+        if bar is not None and bar.kind is Kind.REFUSED:
             self.counters.add("requests", "guard full")
-            return Answer(Kind.REFUSED, reason="no room to remember its run", pushback=BACKEND_WAIT)
-        self.tries.claim(now, sub.handle)
-        if sub.key is not None:
-            self.effects.claim(now, key, self._effect_life(sub.cls))
-        return None
-
-    def _effect_life(self, cls: int) -> float:
-        """For how long a repeat of what is started now may come: where the settings name the class's window, which
-        counts from the arrival of the try that runs, that and the time for which it may have waited."""
-        spec = self.settings.classes[cls]
-        if spec.effect is i.Effect.KEYED and spec.window is not None:
-            return spec.window + spec.deadline + CLOCK_SLACK
-        return self.effects.life
+        return bar
 
     def _attach(self, now: float, r: Request) -> None:
         assert r.repeats is not None and r.sub.key is not None
--- a/lapishaven/server.py
+++ b/lapishaven/server.py
@@ -25,8 +25,9 @@
 from lapishaven.control.door import LIMIT as CONTROL_LIMIT
 from lapishaven.control.metrics import render
 from lapishaven.core import Submission
-from lapishaven.core.broker import ONCE_LIFE, Broker
+from lapishaven.core.broker import Broker
 from lapishaven.core.contracts import Contract, Contracts
+from lapishaven.core.guard import ONCE_LIFE
 from lapishaven.core.model import FleetPart, Kind, LastingKeeper
 from lapishaven.counters import Counters
 from lapishaven.ends import End
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -121,7 +121,7 @@
     # Guards against memory that grows with commits: tries are let go after their life, and with no room to
     # remember a run there is none, as forgetting one early could let it run twice.
     def test_the_guard_is_bounded_and_forgets_nothing_early(self) -> None:
-        self.server.broker.tries.limit = 2
+        self.server.broker.guard.tries.limit = 2
         self.play("""
             expect vm CONNECT 0
             send c1 1 approve-commit
--- a/tests/test_platform_keys.py
+++ b/tests/test_platform_keys.py
@@ -139,8 +139,8 @@
             wait 10
         """)
         assert self.server.broker is not None
-        self.assertFalse(self.server.broker.effects.full(self.now))
-        self.assertEqual(len(self.server.broker.effects), 0)
+        self.assertFalse(self.server.broker.guard.effects.full(self.now))
+        self.assertEqual(len(self.server.broker.guard.effects), 0)
 
 
 class Deadlines(World):
