Never let a withdrawn request become whole at a uwsgi backend as its connection is closed

The orderly close sent what was queued, so of a half-sent request that is halted or timed out the rest went out as well, and the backend could run it for nobody. Conn.close(unsent=False) drops it. The test fails with the drop taken out (60,100 bytes arrived).

--- a/lapishaven/backends/spread.py
+++ b/lapishaven/backends/spread.py
@@ -105,7 +105,7 @@
             return
         attempt.halted = True
         if attempt.conn is not None:
-            attempt.conn.close(End.ABANDONED)
+            attempt.conn.close(End.ABANDONED, unsent=False)
 
     def resume(self, handle: str) -> None:
         # Never paused, so there is nothing to go on with; the attempt ended when it was halted.
@@ -193,7 +193,7 @@
         conn = Conn(self.loop, sock, lambda end: self.counters.add("ends", f"uwsgi backend {end.value}"))
         attempt.conn = conn
         if attempt.halted:
-            conn.close(End.ABANDONED)
+            conn.close(End.ABANDONED, unsent=False)
         variables = {
             "REQUEST_METHOD": "POST",
             "PATH_INFO": self.settings.path + attempt.cls,
@@ -287,7 +287,7 @@
         self._off(attempt, Ending.LEFT)
         attempt.turn += 1
         if conn is not None:
-            conn.close(End.ABANDONED)
+            conn.close(End.ABANDONED, unsent=False)
 
     # ---- For operators, and the end
     def state(self) -> dict[str, Any]:
--- a/lapishaven/backends/uwsgi.py
+++ b/lapishaven/backends/uwsgi.py
@@ -62,7 +62,7 @@
     def halt(self, handle: str) -> None:
         conn = self._running.get(handle)
         if conn is not None:
-            conn.close(End.ABANDONED)
+            conn.close(End.ABANDONED, unsent=False)
         elif handle in self._running:
             self._halted.add(handle)
 
@@ -96,7 +96,7 @@
         conn = Conn(self.loop, sock, lambda end: self.counters.add("ends", f"uwsgi backend {end.value}"))
         self._running[handle] = conn
         if handle in self._halted:
-            conn.close(End.ABANDONED)
+            conn.close(End.ABANDONED, unsent=False)
         conn.write(
             proto.packet({"REQUEST_METHOD": "POST", "PATH_INFO": self.path + cls, "HTTP_X_REQUEST_ID": handle}, body)
         )
@@ -126,7 +126,7 @@
     while True:
         data = yield from conn.read(max(0.0, until - loop.now))
         if data is None:
-            conn.close(End.TIMED_OUT)
+            conn.close(End.TIMED_OUT, unsent=False)
             return outcome_of(End.TIMED_OUT), b"", None
         try:
             response = machine.feed(b"" if isinstance(data, End) else data)
--- a/lapishaven/net/conn.py
+++ b/lapishaven/net/conn.py
@@ -181,11 +181,15 @@
         self._interest()
 
     # ---- Ending
-    def close(self, end: End) -> None:
-        """End in order: send what is queued, half-close, throw away what comes, and wait for the peer's close."""
+    def close(self, end: End, unsent: bool = True) -> None:
+        """End in order: send what is queued, half-close, throw away what comes, and wait for the peer's close. With
+        ``unsent`` off what is queued is not sent: a request that is withdrawn must not become whole at the peer."""
         if self.end is not None or self.closing is not None:
             return
         self.closing = end
+        if not unsent:
+            self.loop.unsent -= self.out.size
+            self.out = Ring(0)
         self.loop.after(self.flush)
         until = self.loop.now + LINGER_MOST
         self._moved = self.sent + self._received
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -3,13 +3,19 @@
 from __future__ import annotations
 
 import json
+import select
 import socket
+from collections.abc import Generator
 from unittest import mock
 
+import pytest
 from scenario import World
 from wire import Tcp, buffered, reset, wait_for
 
+from cometdrum.interface import Outcome
+from lapishaven.backends.uwsgi import Uwsgi
 from lapishaven.callers import WHOLE
+from lapishaven.counters import Counters
 from lapishaven.ends import End
 from lapishaven.fronts import platform
 from lapishaven.net.conn import LINGER, LINGER_MOST, Conn
@@ -328,6 +334,49 @@
     loop.close()
 
 
+@pytest.mark.parametrize("how", ["halted", "timed out"])
+def test_a_request_that_is_withdrawn_half_sent_never_becomes_whole_at_the_backend(how: str) -> None:
+    """Guards against a run that nobody waits for: a close in order sends what is queued, here the request's rest."""
+    clock = [100.0]
+    loop = Loop(lambda: clock[0])
+    ours, theirs = socket.socketpair()
+    theirs.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
+    ended: list[Outcome] = []
+
+    class Listener:
+        def up(self, cold: bool, up_for: float) -> None: ...
+        def gauges(self, values: dict[str, float]) -> None: ...
+        def finished(self, handle: str, outcome: Outcome, spent: float, result: bytes) -> None:
+            ended.append(outcome)
+
+    def dial(loop: Loop, address: tuple[str, int], span: float) -> Generator[Wait, None, socket.socket]:
+        return theirs
+        yield
+
+    spans = {"fuzzy-match": 5.6}
+    backend = Uwsgi(loop, ("127.0.0.1", 1), "/run/", 1, spans, Listener(), Counters(), dial)  # type: ignore[arg-type]
+    backend.start("h", "fuzzy-match", bytes(60_000), True)
+    loop.round(0, lambda now: None)
+    if how == "halted":
+        backend.halt("h")
+    else:
+        clock[0] += 6.0
+    got = b""
+    while True:
+        loop.round(0, lambda now: None)
+        if not select.select([ours], [], [], 0)[0]:
+            assert loop.unsent == 0
+            continue
+        more = ours.recv(65536)
+        if not more:
+            break
+        got += more
+    assert 0 < len(got) < 60_000
+    assert ended == [Outcome.CANCELLED if how == "halted" else Outcome.TIMEOUT]
+    ours.close()
+    loop.close()
+
+
 def test_a_dial_without_a_descriptor_is_an_end_and_no_fault() -> None:
     """Guards against a link that is lost for good as the table of descriptors was full for a moment."""
     from lapishaven.net.conn import connect
