--- /dev/null
+++ b/tests/test_cold_ramp.py
@@ -0,0 +1,112 @@
+"""A fleet that starts cold under the sum of what all callers send: no server runs more than its warm-up survives.
+
+Thirty real Controllers in simulated time, each before the laboratory's model of cores that warm up as slowly as the
+settings allow. The rule: in the mean of ``fall_span`` seconds at most cores x (1 + (fall_multiple - 1) x share of
+speed) runs are on the cores.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import replace
+from random import Random
+
+import pytest
+from helpers import SAFE, settings
+
+from cometdrum import interface as i
+from cometdrum.controller import Controller
+from lapishaven.lab.interpreter import Box, Cores, Work
+
+SERVERS, CALLERS = 30, 24
+TICK, POLL_EVERY = 0.02, 5  # s; ticks
+LOOK_UP = replace(SAFE, name="look-up", aim=1.5, deadline=5.6)
+COMMIT = i.ClassSpec("commit", 1.1, 3.8, 3.0, i.Effect.UNSAFE, 0.0, None, False, 0.0)
+WORKS = {"look-up": Work(0.2, 0.5), "commit": Work(0.15, 0.3)}
+
+
+class ColdServer:
+    """One Controller and its cores, from its start on."""
+
+    def __init__(self, rules: i.Settings, speed: float, seed: int) -> None:
+        self.rules, self.random = rules, Random(seed)
+        self.controller = Controller(rules, seed)
+        box = Box(cores=rules.cores, speed=speed, cold_from=rules.cold_from, cold_span=rules.cold_span, memory_runs=1e9)
+        self.cores = Cores(box, WORKS, Random(seed + 1), 0.0, True)
+        self.events: list[i.Event] = []
+        self.last = 0
+        self.counts: deque[int] = deque(maxlen=round(rules.fall_span / TICK))
+        self.worst = 0.0  # of the mean, as a part of what is survived
+
+    def arrive(self, cls: int, caller: int) -> None:
+        self.last += 1
+        rank = self.random.random()
+        self.events.append(
+            i.Arrival(self.last, 20.0, 0, None, caller, 0.0, False, cls == 1, cls, rank, None, None, None)
+        )
+
+    def step(self, now: float, poll: bool) -> None:
+        for run in self.cores.step(now):
+            self.events.append(i.Finished(int(run.handle), now - run.began, i.Outcome.OK))
+        if poll:
+            self.events.append(i.Poll(0, self.cores.used, float(self.cores.on_cores), 0.2, 10.0))
+        events, self.events = self.events, []
+        for action in self.controller.handle(now, events):
+            if isinstance(action, i.Run):
+                cls = self.controller.requests[action.id].cls
+                self.cores.start(now, str(action.id), self.rules.classes[cls].name, b"")
+        self._judge(now)
+
+    def _judge(self, now: float) -> None:
+        self.counts.append(self.cores.on_cores)
+        share = min(1.0, self.rules.cold_from + (1.0 - self.rules.cold_from) * now / self.rules.cold_span)
+        survived = self.rules.cores * (1.0 + (self.rules.fall_multiple - 1.0) * share)
+        if len(self.counts) == self.counts.maxlen:
+            self.worst = max(self.worst, sum(self.counts) / len(self.counts) / survived)
+
+
+@pytest.mark.parametrize(
+    ("cores", "fall_multiple", "fall_span", "cold_from", "cold_span"),
+    [(6, 6.0, 1.5, 0.24, 17.0), (6, 5.0, 2.0, 0.3, 10.0), (3, 4.0, 1.0, 0.24, 8.0), (1, 2.0, 0.5, 0.1, 17.0)],
+)
+@pytest.mark.parametrize("load", [1.0, 3.0])
+def test_no_cold_server_falls_under_what_all_callers_send(
+    cores: int, fall_multiple: float, fall_span: float, cold_from: float, cold_span: float, load: float
+) -> None:
+    """Guards against a ramp that holds for each caller by itself and not for their sum, at ``load`` times what the
+    fleet can do when it is warm, and with every caller's first requests in one burst."""
+    rules = settings(
+        classes=(LOOK_UP, COMMIT),
+        tenants=(),
+        cores=cores,
+        fall_multiple=fall_multiple,
+        fall_span=fall_span,
+        cold=True,
+        cold_from=cold_from,
+        cold_span=cold_span,
+        memory_kb=1e9,
+        say=None,
+        fair_calls=None,
+        callers=CALLERS,
+        peers=SERVERS,
+    )
+    random = Random(7)
+    servers = [ColdServer(rules, random.choice((0.6, 1.2)), 100 + n) for n in range(SERVERS)]
+    for caller in range(CALLERS):
+        for _ in range(SERVERS):
+            random.choice(servers).arrive(int(random.random() < 0.16), caller)
+    rate = load * SERVERS * cores * 0.9 / 0.33  # requests a second at the fleet
+    now = due = 0.0
+    asked = 0
+    for tick in range(round(min(cold_span, 10.0) / TICK)):
+        while due <= now:
+            due += random.expovariate(rate)
+            caller = random.randrange(CALLERS)
+            random.choice(servers).arrive(int(random.random() < 0.16), caller)
+            asked += 1
+        for server in servers:
+            server.step(now, tick % POLL_EVERY == 0)
+        now += TICK
+    assert max(server.worst for server in servers) <= 1.0
+    assert min(server.worst for server in servers) > 0.1, "each was under load"
+    assert asked > 500
