--- a/tests/test_cold_ramp.py
+++ b/tests/test_cold_ramp.py
@@ -70,11 +70,22 @@
     [(6, 6.0, 1.5, 0.24, 17.0), (6, 5.0, 2.0, 0.3, 10.0), (3, 4.0, 1.0, 0.24, 8.0), (1, 2.0, 0.5, 0.1, 17.0)],
 )
 @pytest.mark.parametrize("load", [1.0, 3.0])
+@pytest.mark.parametrize("limited", [True, False])
 def test_no_cold_server_falls_under_what_all_callers_send(
-    cores: int, fall_multiple: float, fall_span: float, cold_from: float, cold_span: float, load: float
+    cores: int,
+    fall_multiple: float,
+    fall_span: float,
+    cold_from: float,
+    cold_span: float,
+    load: float,
+    limited: bool,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against a ramp that holds for each caller by itself and not for their sum, at ``load`` times what the
-    fleet can do when it is warm, and with every caller's first requests in one burst."""
+    fleet can do when it is warm, and with every caller's first requests in one burst. The running limit alone keeps the
+    rule mostly; without it (``limited`` off) the ceiling that follows the warm-up must."""
+    if not limited:
+        monkeypatch.setattr(Controller, "_step_limit", lambda self, poll: setattr(self, "limit", 1e9))
     rules = settings(
         classes=(LOOK_UP, COMMIT),
         tenants=(),
