Close what rests though it has not read all it is owed: its descriptor was held for good

The slow reader of test_leaving.py sends a request first now, as one that says nothing is closed after 2 s.

--- a/lapishaven/callers.py
+++ b/lapishaven/callers.py
@@ -57,15 +57,16 @@
             said = session.since is None and session.conn.active > self.sessions[session]
             del self.sessions[session]
             self.sessions[session] = session.conn.active
-            if not said and self._close_at_rest(session, End.EVICTED):
+            if not said and not session.conn.out.size and self._close_at_rest(session, End.EVICTED):
                 self._room.add(session.conn)
                 wanted -= 1
         return not self.budget.full
 
     def _close_at_rest(self, session: Session, end: End) -> bool:
-        """Close it if nothing is open or under way there, also not in the kernel's buffer."""
+        """Close it if nothing is open or under way there, also not in the kernel's buffer. What it has not read yet is
+        still sent, if it reads at all."""
         conn = session.conn
-        if session.busy or conn.out.size or conn.closing is not None or conn.end is not None or conn.catch_up():
+        if session.busy or conn.closing is not None or conn.end is not None or conn.catch_up():
             return False
         session.leave(end)
         return True
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -92,6 +92,23 @@
         self.wait(LINGER + 0.1)
         self.assertEqual((self.server.budget.used, len(self.server.callers.sessions)), (0, 0))
 
+    # Guards against a descriptor held for good by one that reads nothing of what it is owed.
+    def test_a_peer_that_never_reads_is_left(self) -> None:
+        for rest in (b"{", b""):
+            with self.subTest(rest=rest):
+                caller = self.connect(SO_RCVBUF=2048)
+                conn = self.of(caller).conn
+                conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
+                for _ in range(8):
+                    self.send(caller, b"[]\n" * 100)
+                    self.until(lambda conn=conn: not buffered(conn.sock), "its lines read")
+                self.send(caller, rest) if rest else None
+                self.until(lambda conn=conn: not buffered(conn.sock), "the rest read")
+                self.assertGreater(conn.out.size, 0)
+                self.wait((WHOLE if rest else self.server.callers.idle) + LINGER + 0.2)
+                self.assertIsNotNone(conn.end)
+                self.assertEqual((self.server.budget.used, self.server.loop.unsent), (0, 0))
+
     def test_a_peer_that_sends_for_ever_is_left(self) -> None:
         caller = self.connect()
         self.send(caller, b"x" * 9000)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -139,6 +139,7 @@
     # Guards against answers held back until the kill: a reader that is slow may be half through its last one.
     def test_a_slow_reader_gets_its_last_answers_whole(self) -> None:
         caller = self.connect(SO_RCVBUF=2048)
+        self.serve(caller, "t1", 1)
         conn = self.of(caller).conn
         conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
         self.server.drain()
