--- a/lapishaven/storage/__init__.py
+++ b/lapishaven/storage/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from lapishaven.storage.errors import Damage, StoreBroken, StoreError, StoreFull, StoreLocked
-from lapishaven.storage.store import Limits, Store
+from lapishaven.storage.segments import Limits
+from lapishaven.storage.store import Store
 
 __all__ = ["Damage", "Limits", "Store", "StoreBroken", "StoreError", "StoreFull", "StoreLocked"]
--- a/lapishaven/storage/store.py
+++ b/lapishaven/storage/store.py
@@ -12,16 +12,17 @@
 from collections.abc import Callable, Iterator, Sequence
 from concurrent.futures import Future
 from contextlib import suppress
-from dataclasses import dataclass, field
 from types import TracebackType
 
 import numpy as np
 
 from lapishaven.storage import format as fmt
+from lapishaven.storage.compaction import Compaction
 from lapishaven.storage.errors import Damage, StoreBroken, StoreError, StoreFull
 from lapishaven.storage.files import Files, RealFiles
 from lapishaven.storage.format import PUT, TOMBSTONE, NotAFrame, Record
 from lapishaven.storage.index import GONE, ROWS, Index, digest, place_of, split
+from lapishaven.storage.segments import Limits, Segment, Stats, Waiting
 from lapishaven.storage.wheel import Wheel
 
 BALLAST = "ballast"  # room for deletes when the disk is full
@@ -29,61 +30,6 @@
 READ = 4096  # bytes of a record that are read at first
 
 
-@dataclass(frozen=True, slots=True)
-class Limits:
-    """Sizes in bytes."""
-
-    segment: int = 16 << 20  # at which a segment is sealed
-    total: int = 0  # of all files, over which nothing more is put; 0 for no bound
-    waiting: int = 16 << 20  # that waits to be written, over which nothing more is put
-    group: int = 4 << 20  # written and synced at one time
-    ballast: int = 64 << 10
-    dead: float = 0.5  # part of a sealed segment's records that is of no use any more, from which it is compacted
-
-
-@dataclass(slots=True)
-class Segment:
-    number: int
-    clock: int  # the store's sequence at its creation
-    size: int = 0  # of what is durable
-    records: int = 0
-    live: int = 0
-    tombstones: int = 0
-    sealed: bool = False
-    suspect: bool = False  # an fsync of it failed
-    pins: int = 0
-
-    @property
-    def name(self) -> str:
-        return f"{self.number:08d}.seg"
-
-    @property
-    def hint(self) -> str:
-        return f"{self.number:08d}.hint"
-
-
-@dataclass(slots=True)
-class _Waiting:
-    records: list[Record]
-    future: Future[int]
-    size: int
-    copy: bool = False  # by compaction: the records keep their sequence
-
-
-@dataclass(slots=True)
-class Stats:
-    """Counters since the store was opened; spans in seconds."""
-
-    commits: int = 0
-    records: int = 0
-    syncs: list[float] = field(default_factory=list)  # the last thousand
-    compacted: int = 0
-    refused: int = 0
-    failed: int = 0
-    opened_in: float = 0.0
-    cut: int = 0  # bytes of a torn tail
-
-
 class Store:
     """One directory, one writer."""
 
@@ -95,12 +41,11 @@
         self.damage: list[Damage] = []
         self.segments: dict[int, Segment] = {}
         self._fresh: dict[int, tuple[Record, bytes]] = {}
-        self._queue: list[_Waiting] = []
+        self._queue: list[Waiting] = []
         self._waiting = 0
-        self._lock = threading.RLock()
-        self._work = threading.Condition(self._lock)
+        self.lock = threading.RLock()
+        self._work = threading.Condition(self.lock)
         self._committing = threading.Lock()
-        self._compact_lock = threading.Lock()  # the store's own thread compacts, and so may a caller
         self._closed = self._stalled = False
         self._seq = 0
         self._wall = 0.0  # the latest time that the store has seen, over restarts too
@@ -112,7 +57,7 @@
             files.close()
             raise
         self._wheel = Wheel(self.now())
-        self._compacting: Iterator[None] | None = None
+        self._compaction = Compaction(self)
         self._thread = threading.Thread(target=self._run, name="storage", daemon=True) if thread else None
         if self._thread is not None:
             self._thread.start()
@@ -257,7 +202,7 @@
             if not 0 < len(key) <= fmt.KEY_LIMIT or len(value or b"") > fmt.VALUE_LIMIT:
                 raise ValueError(f"a key is of 1 to {fmt.KEY_LIMIT} bytes, a value of up to {fmt.VALUE_LIMIT}")
         future: Future[int] = Future()
-        with self._lock:
+        with self.lock:
             if self._closed:
                 raise StoreError("the store is closed")
             only_deletes = all(value is None for _, value, _ in changes)
@@ -271,7 +216,7 @@
                 record = Record(kind, self._seq, key, value or b"", expiry)
                 records.append(record)
                 self._fresh[digest(key)] = record, key
-            self._queue.append(_Waiting(records, future, size))
+            self._queue.append(Waiting(records, future, size))
             self._waiting += size
             self._work.notify()
         return future
@@ -286,7 +231,7 @@
 
     def frees_in(self) -> float | None:
         """Seconds until the next record expires; ``None`` if none will."""
-        with self._lock:
+        with self.lock:
             return self._wheel.next_in()
 
     @property
@@ -296,7 +241,7 @@
 
     def sync(self) -> int:
         """Wait until all that was put so far is durable; gives its sequence. Raises as the futures would."""
-        with self._lock:
+        with self.lock:
             last = self._queue[-1].future if self._queue else None
             seq = self._seq
         if self._thread is None:
@@ -309,7 +254,7 @@
     def commit(self) -> bool:
         """Write and sync one group; true if there was one. The store's own thread does so; without it, the caller."""
         with self._committing:
-            with self._lock:
+            with self.lock:
                 group, size = [], 0
                 while self._queue and size <= self.limits.group:
                     waiting = self._queue.pop(0)
@@ -321,7 +266,7 @@
             self._commit(group)
             return True
 
-    def _commit(self, group: list[_Waiting]) -> None:
+    def _commit(self, group: list[Waiting]) -> None:
         records = [record for waiting in group for record in waiting.records]
         wall = self.now()
         try:
@@ -344,7 +289,7 @@
             for waiting in group:
                 waiting.future.set_exception(failure)
             return
-        with self._lock:
+        with self.lock:
             segment.size = start + len(data)
             place = start + fmt.FRAME.size
             for record in records:
@@ -385,7 +330,7 @@
 
     def _undo(self, records: list[Record]) -> None:
         """What was not written is not there."""
-        with self._lock:
+        with self.lock:
             for record in records:
                 key = digest(record.key)
                 fresh = self._fresh.get(key)
@@ -410,13 +355,13 @@
                 self.files.remove(segment.name)
             raise
         segment.size = len(data)
-        with self._lock:
+        with self.lock:
             self.segments[number] = segment
         return segment
 
     def _clock_now(self) -> int:
         """The sequence up to which everything is older than a segment made now."""
-        with self._lock:
+        with self.lock:
             waiting = [w.records[0].seq for w in self._queue if not w.copy]
             fresh = [record.seq for record, _ in self._fresh.values()]
         return min([self._seq + 1, *waiting, *fresh]) - 1
@@ -468,14 +413,14 @@
         if segment.suspect:
             return
         rows = []
-        for at, record in self._records_of(segment):
+        for at, record in self.records_of(segment):
             key = digest(record.key)
             place = place_of(segment.number, at) if record.kind == PUT else GONE
             rows.append((key >> 64, key & 0xFFFFFFFFFFFFFFFF, place, record.seq, record.expiry))
         if len(rows) == segment.records:
             self._write_hint(segment, np.array(rows, dtype=ROWS))
 
-    def _records_of(self, segment: Segment) -> list[tuple[int, Record]]:
+    def records_of(self, segment: Segment) -> list[tuple[int, Record]]:
         data = self.files.read(segment.name, 0, segment.size)
         return [found for records, _ in fmt.scan(data).frames for found in records]
 
@@ -487,7 +432,7 @@
 
     def _get(self, key: bytes) -> Record | None:
         name = digest(key)
-        with self._lock:
+        with self.lock:
             fresh = self._fresh.get(name)
             if fresh is not None:
                 record: Record | None = fresh[0] if fresh[0].kind == PUT else None
@@ -524,7 +469,7 @@
 
     def scan(self) -> Iterator[tuple[bytes, bytes, float]]:
         """Every key, value and expiry as they are when it begins, while writes go on."""
-        with self._lock:
+        with self.lock:
             places = [place for place, _ in self.index.places()]
             fresh = [record for record, _ in self._fresh.values()]
             pinned = list(self.segments.values())
@@ -537,18 +482,18 @@
                 if record.kind == PUT and not 0 < record.expiry <= now:
                     yield record.key, record.value, record.expiry
             for place in places:
-                with self._lock:
+                with self.lock:
                     found = self._read(place)
                 if found is not None and found.key not in seen and not 0 < found.expiry <= now:
                     yield found.key, found.value, found.expiry
         finally:
-            with self._lock:
+            with self.lock:
                 for segment in pinned:
                     segment.pins -= 1
 
     def __len__(self) -> int:
         """Keys that are there, those that expired and were not swept yet among them."""
-        with self._lock:
+        with self.lock:
             return len(self.index)
 
     # ---- Compaction
@@ -563,98 +508,15 @@
         return before - self.disk_bytes
 
     def compact_slice(self, budget: int = 1 << 20, everything: bool = False, upto: int = 1 << 24) -> bool:
-        """Copy up to so many bytes of what is live out of the worst sealed segment; once none is left and the copies
-        are durable, the segment goes. Cut off at any point, the next opening finds the same records. True if there
-        is more to do."""
-        with self._compact_lock:
-            return self._slice(budget, everything, upto)
-
-    def _slice(self, budget: int, everything: bool, upto: int) -> bool:
-        if self._compacting is None:
-            victim = self._victim(everything, upto)
-            if victim is None:
-                return False
-            self._compacting = self._compact_one(victim, budget)
-        try:
-            next(self._compacting)
-        except StopIteration:
-            self._compacting = None
-        except StoreError:
-            self._compacting = None
-            return False
-        return True
-
-    def _victim(self, everything: bool, upto: int) -> Segment | None:
-        with self._lock:
-            sealed = [s for s in self.segments.values() if s.sealed and not s.pins and s.number <= upto]
-            if any(s.pins for s in self.segments.values()):
-                return None
-            # Tombstones may still be needed, and would only be copied on and on; a full compaction looks at each once.
-            worst = [
-                s
-                for s in sealed
-                if everything or not s.records or (s.records - s.live - s.tombstones) / s.records >= self.limits.dead
-            ]
-            # The oldest first: only behind it can tombstones be let go.
-            return min(worst, key=lambda each: each.number) if worst else None
-
-    def _compact_one(self, segment: Segment, budget: int) -> Iterator[None]:
-        copied: list[Record] = []
-        futures: list[Future[int]] = []
-        spent = 0
-        for at, record in self._records_of(segment):
-            if not self._needed(segment, at, record):
-                continue
-            copied.append(record)
-            spent += record.size
-            if spent >= budget:
-                futures.append(self._copy(copied))
-                copied, spent = [], 0
-                yield
-        if copied:
-            futures.append(self._copy(copied))
-            yield
-        for future in futures:
-            while not future.done():
-                yield
-            future.result()
-        with self._lock:
-            if any(s.pins for s in self.segments.values()):
-                return
-            for at, record in self._records_of(segment):
-                found = self.index.get(digest(record.key))
-                if found is not None and found[0] == place_of(segment.number, at):
-                    return  # it came to life here again; next time
-            del self.segments[segment.number]
-            self.stats.compacted += 1
-        with suppress(OSError):
-            self.files.remove(segment.hint)
-        self.files.remove(segment.name)
-        # Until this lasts nothing may rely on the segment's being gone: a tombstone let go meanwhile would have
-        # its key come back with the file.
-        self.files.sync_names()
-
-    def _needed(self, segment: Segment, at: int, record: Record) -> bool:
-        with self._lock:
-            found = self.index.get(digest(record.key))
-            if found is None or found[1] != record.seq:
-                return False
-            expired = 0 < record.expiry <= self.now()
-            if record.kind == PUT and not expired:
-                return found[0] == place_of(segment.number, at)
-            # A tombstone, or an expired put, hides older records of its key: needed while such may lie anywhere.
-            older = any(s.clock < record.seq for s in self.segments.values() if s is not segment)
-            if not older:
-                if found[0] != GONE:
-                    self.index.put(digest(record.key), GONE, record.seq, 0.0)
-                self.index.drop(digest(record.key))
-            return older
-
-    def _copy(self, records: list[Record]) -> Future[int]:
+        """One slice of ``Compaction``. True if there is more to do."""
+        return self._compaction.slice(budget, everything, upto)
+
+    def queue_copies(self, records: list[Record]) -> Future[int]:
+        """Have records written again as they are, for compaction."""
         future: Future[int] = Future()
-        with self._lock:
+        with self.lock:
             size = sum(record.size for record in records)
-            self._queue.append(_Waiting(list(records), future, size, copy=True))
+            self._queue.append(Waiting(list(records), future, size, copy=True))
             self._waiting += size
             self._work.notify()
         return future
@@ -667,7 +529,7 @@
         if target.names():
             target.close()
             raise StoreError(f"{path} is not empty")
-        with self._lock:
+        with self.lock:
             taken = [(segment, segment.size) for segment in self.segments.values()]
             for segment, _ in taken:
                 segment.pins += 1
@@ -686,7 +548,7 @@
             target.sync_names()
         finally:
             target.close()
-            with self._lock:
+            with self.lock:
                 for segment, _ in taken:
                     segment.pins -= 1
         return total
