--- a/cometdrum/controller.py
+++ b/cometdrum/controller.py
@@ -168,8 +168,8 @@
 
     # ---- Window and chance
     def _sample(self, poll: i.Poll) -> None:
-        # Stall guard: at the concurrency ceiling nothing more can start however idle the cores look (work or the
-        # dependency stands still), so that counts as busy. Harm: long waits for disk look like a stall.
+        # Stall guard: at the concurrency ceiling nothing more can start, however idle the cores look (work or
+        # the dependency stands still), so that counts as busy. Harm: long waits for disk look like a stall.
         stalled = sum(self.count[RUNNING:PAUSED]) + 1 > self._ceiling()
         self.busy = 1.0 if stalled or poll.cpu is None and self.held else poll.cpu or 0.0
         # Full cores read 1 at any demand above them, so waiting work is added as the busy share that it will
@@ -219,7 +219,7 @@
         self.limit = max(float(cores), min(self.limit, self._ceiling()))
 
     def _ceiling(self) -> float:
-        """Concurrency guard: runs that even the slowest allowed warm-up survives, those at a call included."""
+        """Concurrency guard: runs that even the slowest allowed warm-up survives, with those at a call."""
         share = 1.0
         if self.s.cold and self.s.cold_span > 0:
             warm = min(1.0, (self.now - self.born) / self.s.cold_span)
@@ -255,8 +255,8 @@
             return
         least = min(map(self._worth, range(len(self.s.classes))))
         r.value *= self._worth(a.cls) / least if least > 0 else 1.0
-        # The refusal probability is compared with the caller's place in its class, so a retry draws nothing anew.
-        # The window lags a surge's end; what waits now bounds it, so that a dry hold is not refused into idling.
+        # The refusal probability is held against the caller's place in its class, so a retry draws nothing
+        # anew. The window lags a surge's end; what waits now bounds it, so that a dry hold is not refused.
         r.place = (a.rank * len(self.s.classes)) % 1.0 if a.rank > 0 else self.rng.random()
         pressed = self.busy >= FULL and (len(self.held) > 1 or self.unread > POLL)
         pools = self.pools
@@ -381,7 +381,7 @@
         while self.lingering and self.lingering[0] <= self.now:
             self.lingering.popleft()
         # Dependency guard: once calls take well over their base, what cannot call at once goes without it.
-        # Else all stand in line for what is overloaded and fall due. Harm: poorer answers in a short slowness.
+        # Else all stand in line for what is slow and fall due. Harm: poorer answers in a short slowness.
         slow = self._climb(-1) > SLOW
         for _ in range(len(self.calls_waiting)):
             r = self.requests.get(self.calls_waiting[0])
