--- a/lapishaven/callers.py
+++ b/lapishaven/callers.py
@@ -46,7 +46,7 @@
         """Begin to close connections that have long been idle, and say whether a descriptor is free by now.
 
         Each in turn is let off once for a whole message since the last look, so that connections which say
-        nothing goes before callers that come back.
+        nothing go before callers that come back.
         """
         if self._room.free():
             return True
