Measure each wait for a shared file's write lock, and tell operators of slow ones

half_of_forty fails as a member finds lease.db locked for over 1 s and ends. Nothing told who held the lock, or for how long: added are the wait and the hold of each transaction by its call, three gauges, and the event 'slow lock' from 250 ms on.

In a run that failed: calls 'open' gave up after 1,031 ms, while no transaction of any member held the lock for over 45 ms (median 0.1 to 8 ms by call; all holds of the start add up to well under a second of the four). 'record effect count' and 'claim' waited for up to 1,007 and 974 ms, too. So nobody held the lock for long: those that waited asked for it too seldom. SQLite's busy handler sleeps 1, 2, 5, ... 50 ms and then 100 ms between two tries, so whoever has waited longest asks least often, and 40 newcomers at 1 ms get the lock before it. And each open takes the write lock, although there is nothing to write. Ruled out: slow commits (fsync is within the hold), the switch to WAL (it would fail in 'pragma journal_mode'), a stopped holder.

--- a/lapishaven/lab/field/process.py
+++ b/lapishaven/lab/field/process.py
@@ -20,6 +20,7 @@
 from typing import Any
 
 from lapishaven.lab.field.clock import FaultyClock
+from lapishaven.lock_waits import LockUse
 from lapishaven.ownership.agent import Agent, ApplyEffect, Duty, Receiver
 from lapishaven.ownership.coordinators.sqlite import SqliteCoordinator
 from lapishaven.ownership.duties import periods
@@ -174,7 +175,12 @@
             from lapishaven.ownership.coordinators.etcd import EtcdCoordinator
 
             return EtcdCoordinator("127.0.0.1", self._spec["etcd"], "/field", self._spec.get("timeout", 0.5))
-        return SqliteCoordinator(self._spec["coordinator"], self._clock)
+        return SqliteCoordinator(self._spec["coordinator"], self._clock, observe_lock=self._report_lock)
+
+    def _report_lock(self, use: LockUse) -> None:
+        if use.is_slow or self._spec.get("lock_trace"):
+            held = None if use.held_s is None else round(use.held_s, 4)
+            self._report("slow lock", {"kind": use.kind, "waited": round(use.waited_s, 4), "held": held})
 
     def _receiver_and_duty(self) -> tuple[Receiver, Duty]:
         spec = self._spec
--- a/lapishaven/ownership/coordinators/sqlite.py
+++ b/lapishaven/ownership/coordinators/sqlite.py
@@ -14,6 +14,7 @@
 from typing import NamedTuple
 
 from lapishaven import sqlite
+from lapishaven.lock_waits import ObserveLock, ignore_lock_use
 from lapishaven.ownership.model import (
     AlreadyOwnedError,
     Clock,
@@ -56,15 +57,22 @@
 
 class SqliteCoordinator:
     """A coordinator in one file. A call that waits for other writers for more than ``busy_timeout_s`` raises
-    ``CoordinatorError``."""
-
-    def __init__(self, path: str, clock: Clock | None = None, busy_timeout_s: float = BUSY_TIMEOUT_S) -> None:
+    ``CoordinatorError``. ``observe_lock`` is told of each transaction's wait for the write lock."""
+
+    def __init__(
+        self,
+        path: str,
+        clock: Clock | None = None,
+        busy_timeout_s: float = BUSY_TIMEOUT_S,
+        observe_lock: ObserveLock = ignore_lock_use,
+    ) -> None:
         self._path = path
+        self._observe_lock = observe_lock
         self._clock = clock or SystemClock()
         self._renewal_counts: dict[int, _RenewalCount] = {}  # by session, as observed by this process
         try:
             self._connection = sqlite.connect(path, busy_timeout_s)
-            with sqlite.writing(self._connection):
+            with sqlite.writing(self._connection, path, "open", observe_lock):
                 sqlite.script(self._connection, SCHEMA)
         except sqlite3.Error as error:
             raise CoordinatorError(f"{path}: {error}") from None
@@ -73,7 +81,7 @@
         """Open a session."""
         with self._reading():
             self._end_expired_sessions()
-        with self._writing() as connection:
+        with self._writing("join") as connection:
             if connection.execute("select 1 from session where name = ?", (record.name,)).fetchone() is not None:
                 raise AlreadyOwnedError
             session = self._next_revision()
@@ -89,7 +97,7 @@
 
     def renew(self, session: int) -> int:
         """Increment the session's renewal count; returns the revision."""
-        with self._writing() as connection:
+        with self._writing("renew") as connection:
             connection.execute("update session set count = count + 1 where id = ?", (session,))
             self._require_session(session)
         return self.read_revision()
@@ -102,7 +110,7 @@
 
     def announce(self, session: int, record: MemberRecord, stable: bool = False) -> None:
         """Replace the member's record."""
-        with self._writing() as connection:
+        with self._writing("announce") as connection:
             self._require_session(session)
             if stable:
                 connection.execute("delete from past where name = ?", (record.name,))
@@ -129,7 +137,7 @@
 
     def claim(self, session: int, shard: Shard) -> int:
         """Take a shard that has no owner; returns its token."""
-        with self._writing() as connection:
+        with self._writing("claim") as connection:
             self._require_session(session)
             if _read_token(connection, shard) is not None:
                 raise AlreadyOwnedError
@@ -139,7 +147,7 @@
 
     def transfer(self, session: int, shard: Shard, token: int, successor: int | None) -> bool:
         """Transfer a shard to another session, or release it if there is no successor or its session has ended."""
-        with self._writing() as connection:
+        with self._writing("transfer") as connection:
             if _read_token(connection, shard) != token:
                 return False
             new_token = self._next_revision()
@@ -154,7 +162,7 @@
 
     def record_effect_count(self, session: int, shard: Shard, token: int, effect_count: int) -> bool:
         """Store how many effects the shard's receiver holds; the count never decreases."""
-        with self._writing() as connection:
+        with self._writing("record effect count") as connection:
             if _read_token(connection, shard) != token:
                 return False
             connection.execute(
@@ -165,7 +173,7 @@
 
     def deregister(self, session: int) -> None:
         """End the session."""
-        with self._writing():
+        with self._writing("deregister"):
             self._require_session(session)
             self._end_session(session)
 
@@ -182,8 +190,8 @@
             raise CoordinatorError(f"call to the coordinator {self._path} failed: {error}") from None
 
     @contextmanager
-    def _writing(self) -> Iterator[sqlite3.Connection]:
-        with self._reading() as connection, sqlite.writing(connection):
+    def _writing(self, kind: str) -> Iterator[sqlite3.Connection]:
+        with self._reading() as connection, sqlite.writing(connection, self._path, kind, self._observe_lock):
             yield connection
 
     # ---- Sessions
@@ -209,7 +217,7 @@
         expired = self._find_expired_sessions()
         if not expired:
             return
-        with sqlite.writing(self._connection):
+        with sqlite.writing(self._connection, self._path, "end expired sessions", self._observe_lock):
             for session, count in expired:
                 row = self._connection.execute("select count from session where id = ?", (session,)).fetchone()
                 if row is not None and row[0] == count:
--- a/lapishaven/ownership/fenced_store.py
+++ b/lapishaven/ownership/fenced_store.py
@@ -9,10 +9,12 @@
 import json
 import sqlite3
 from collections.abc import Callable, Iterable, Iterator, Mapping
+from contextlib import AbstractContextManager
 from dataclasses import dataclass
 from typing import Any
 
 from lapishaven import sqlite
+from lapishaven.lock_waits import ObserveLock, ignore_lock_use
 from lapishaven.ownership.fence import EffectRequest, HighWaterMark, Verdict, advance, judge, judge_unfenced
 from lapishaven.ownership.model import Shard
 
@@ -80,7 +82,8 @@
 class FencedStore:
     """A store in one file, which processes may share. Not thread-safe: one thread at a time may use an instance.
 
-    ``fenced=False`` is for measurements only: the baseline of leases without fencing.
+    ``fenced=False`` is for measurements only: the baseline of leases without fencing. ``observe_lock`` is told of each
+    transaction's wait for the write lock.
     """
 
     def __init__(
@@ -89,17 +92,22 @@
         duty_schemas: Mapping[str, DutySchema],
         busy_timeout_s: float = BUSY_TIMEOUT_S,
         fenced: bool = True,
+        observe_lock: ObserveLock = ignore_lock_use,
     ) -> None:
         self._path = path
+        self._observe_lock = observe_lock
         self._judge = judge if fenced else judge_unfenced
         self._effects = {name: effect for duty in duty_schemas.values() for name, effect in duty.effects.items()}
         try:
             self._connection = sqlite.connect(path, busy_timeout_s)
-            with sqlite.writing(self._connection):
+            with self._writing("open"):
                 self._create_tables(path, duty_schemas.values())
         except sqlite3.Error as error:
             raise FencedStoreError(f"cannot open the store {path}: {error}") from None
 
+    def _writing(self, kind: str) -> AbstractContextManager[None]:
+        return sqlite.writing(self._connection, self._path, kind, self._observe_lock)
+
     def _create_tables(self, path: str, duty_schemas: Iterable[DutySchema]) -> None:
         version = self._connection.execute("pragma user_version").fetchone()[0]
         if version > SCHEMA_VERSION:
@@ -122,7 +130,7 @@
         if apply is None:
             raise FencedStoreError(f"no effect {effect!r}")
         try:
-            with sqlite.writing(self._connection):
+            with self._writing("admit"):
                 mark = self._read_mark(request.shard)
                 verdict = self._judge(mark, request)
                 if verdict is Verdict.REPEAT:
@@ -167,7 +175,7 @@
     def write(self, work: Callable[[sqlite3.Connection], Any]) -> Any:
         """Run ``work`` in one transaction, for writes to tables that are not guarded (reports of members)."""
         try:
-            with sqlite.writing(self._connection):
+            with self._writing("report"):
                 return work(self._connection)
         except sqlite3.Error as error:
             raise FencedStoreError(f"cannot write to the store {self._path}, nothing was written: {error}") from None
--- a/lapishaven/ownership/notices.py
+++ b/lapishaven/ownership/notices.py
@@ -27,6 +27,7 @@
     FAILED = "failed"
     RESTARTING = "restarting"
     OVERLOADED = "overloaded"
+    SLOW_LOCK = "slow lock"
 
 
 @dataclass(frozen=True, slots=True)
--- a/lapishaven/ownership/participant.py
+++ b/lapishaven/ownership/participant.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 from lapishaven.core.contracts import Contract
+from lapishaven.lock_waits import LockUse, LockWaits, ObserveLock, ignore_lock_use
 from lapishaven.ownership.agent import Agent, Duty
 from lapishaven.ownership.consumption import ConsumptionRecorder
 from lapishaven.ownership.duties import budgets, periods, restart
@@ -34,12 +35,18 @@
     "budgets": budgets.DUTY_SCHEMA,
 }
 ETCD_TIMEOUTS_PER_TTL = 5  # the timeout of one call to etcd is the time to live of a lease divided by this
+MS_PER_S = 1000
 FINAL_FLUSH_TIMEOUT_S = 0.1  # the process is killed 0.15 s after the end of the event loop
 FINAL_JOIN_TIMEOUT_S = 0.02
 
 
-def open_coordinator(settings: OwnershipSettings, clock: Clock | None = None) -> Coordinator:
-    """Open the configured coordinator. Raises ``OwnershipError`` if that fails or its library is not installed."""
+def open_coordinator(
+    settings: OwnershipSettings, clock: Clock | None = None, observe_lock: ObserveLock = ignore_lock_use
+) -> Coordinator:
+    """Open the configured coordinator; ``observe_lock`` is told of the waits for a file's lock.
+
+    Raises ``OwnershipError`` if that fails or its library is not installed.
+    """
     try:
         if isinstance(settings.coordinator, tuple):
             from lapishaven.ownership.coordinators.etcd import EtcdCoordinator
@@ -48,7 +55,7 @@
             return EtcdCoordinator(host, port, settings.prefix, settings.rules.ttl / ETCD_TIMEOUTS_PER_TTL)
         from lapishaven.ownership.coordinators.sqlite import SqliteCoordinator
 
-        return SqliteCoordinator(settings.coordinator, clock)
+        return SqliteCoordinator(settings.coordinator, clock, observe_lock=observe_lock)
     except ImportError:
         raise OwnershipError(
             f"cannot use the etcd coordinator {settings.coordinator}: install lapishaven[ownership]"
@@ -91,9 +98,10 @@
         self._log = log or _print_to_stderr
         self._clock = clock or SystemClock()
         self.incarnation = f"{name}:{os.getpid()}:{int(self._clock.now() * 1000)}"
+        self._lock_waits = LockWaits()
         try:
-            self._worker_store = FencedStore(settings.receiver, DUTY_SCHEMAS)
-            self._reporter_store = FencedStore(settings.receiver, DUTY_SCHEMAS)
+            self._worker_store = FencedStore(settings.receiver, DUTY_SCHEMAS, observe_lock=self._observe_lock)
+            self._reporter_store = FencedStore(settings.receiver, DUTY_SCHEMAS, observe_lock=self._observe_lock)
         except FencedStoreError as error:
             raise OwnershipError(f"cannot start ownership: {error}") from None
         self._consumption = self._consumption_recorder()
@@ -124,12 +132,12 @@
         record = MemberRecord(self.name, self.incarnation, weight=self.settings.weight)
         return Agent(
             Member(record, shards, self.settings.rules, Random(self.incarnation)),
-            open_coordinator(self.settings, self._clock),
+            open_coordinator(self.settings, self._clock, self._observe_lock),
             self._worker_store,
             duties,
             self._clock,
             self._log_event,
-            progress_coordinator=open_coordinator(self.settings, self._clock),
+            progress_coordinator=open_coordinator(self.settings, self._clock, self._observe_lock),
         )
 
     def _duties(self, contracts: list[Contract] | None, classes: Sequence[str]) -> list[Duty]:
@@ -214,6 +222,9 @@
             "joins": counters.joins,
             "coordinator_calls": self.agent.driver.call_count,
             "shed": self._overload.shed_count if self._overload is not None else 0,
+            "lock_timeouts": self._lock_waits.timeouts,
+            "lock_wait_max_ms": round(self._lock_waits.max_waited_s * MS_PER_S),
+            "lock_held_max_ms": round(self._lock_waits.max_held_s * MS_PER_S),
         }
 
     def drain(self) -> None:
@@ -233,6 +244,13 @@
         if kind != NoticeKind.EFFECT_ACKNOWLEDGED.value:
             self._log(json.dumps({"ownership": kind, "start": self.incarnation, **fields}))
 
+    def _observe_lock(self, use: LockUse) -> None:
+        self._lock_waits.observe(use)
+        if use.is_slow:
+            held_ms = None if use.held_s is None else round(use.held_s * MS_PER_S)
+            fields = {"file": use.path, "call": use.kind, "waited_ms": round(use.waited_s * MS_PER_S)}
+            self._log_event(NoticeKind.SLOW_LOCK.value, {**fields, "held_ms": held_ms})
+
     # ---- The reporter's thread
     def _run_reporter(self) -> None:
         while not self._closed.wait(self.settings.flush_interval):
--- a/lapishaven/sqlite.py
+++ b/lapishaven/sqlite.py
@@ -7,6 +7,8 @@
 from collections.abc import Iterator
 from contextlib import contextmanager, suppress
 
+from lapishaven.lock_waits import LockUse, ObserveLock, ignore_lock_use
+
 WAL_RETRY_INTERVAL_S = 0.01
 PRIMARY_CODE_MASK = 0xFF  # an extended result code has the primary code in its low byte
 
@@ -53,9 +55,20 @@
 
 
 @contextmanager
-def writing(connection: sqlite3.Connection) -> Iterator[None]:
-    """Run the block in a transaction (``BEGIN IMMEDIATE``); any exception rolls it back. Raises ``sqlite3.Error``."""
-    connection.execute("begin immediate")
+def writing(
+    connection: sqlite3.Connection, path: str = "", kind: str = "", observe: ObserveLock = ignore_lock_use
+) -> Iterator[None]:
+    """Run the block in a transaction (``BEGIN IMMEDIATE``); any exception rolls it back. Raises ``sqlite3.Error``.
+
+    ``observe`` is told how long the transaction waited for the write lock and held it; ``path`` and ``kind`` name it.
+    """
+    began_at = time.monotonic()
+    try:
+        connection.execute("begin immediate")
+    except sqlite3.Error:
+        observe(LockUse(path, kind, time.monotonic() - began_at, None))
+        raise
+    locked_at = time.monotonic()
     try:
         yield
         connection.execute("commit")
@@ -63,3 +76,5 @@
         with suppress(sqlite3.Error):
             connection.execute("rollback")
         raise
+    finally:
+        observe(LockUse(path, kind, locked_at - began_at, time.monotonic() - locked_at))
