Open a shared SQLite file without the write lock, and later where it is locked at the start

Mend: SqliteFile finds a complete schema without the write lock; a locked file is opened by a later call, which is repeated like any that got no answer; the server says so once and serves. The lock is asked for each 20 to 60 ms by all alike. The same open in the fleet's store and the ledger is mended with it; the commands of 'ownership' print one line where a later read fails. Why it works: nothing at the start needs the lock any more, and what needs it is tried again within the lease.

--- a/lapishaven/cli/serve.py
+++ b/lapishaven/cli/serve.py
@@ -94,7 +94,7 @@
     import os
     import time
 
-    from lapishaven.ledger.database import LedgerDatabase, LedgerError
+    from lapishaven.ledger.database import BUSY_TIMEOUT_S, LedgerDatabase, LedgerError
     from lapishaven.ledger.recorder import Recorder
     from lapishaven.ledger.settings import LedgerSettingsError, load_settings
 
@@ -102,6 +102,12 @@
         settings = load_settings(path)
         incarnation = f"{server_name}:{os.getpid()}:{time.time_ns()}"
         database = LedgerDatabase(settings.file)
+        if not database.is_open:
+            typer.echo(
+                f"ledger {settings.file} is locked by another process; keyed requests of classes that may not run twice"
+                f" are rejected until it is free, each try to open it waits up to {BUSY_TIMEOUT_S:g} s",
+                err=True,
+            )
         return Recorder(database, incarnation, settings.meters, settings.default_meter, settings.backpressure)
     except (LedgerSettingsError, LedgerError) as error:
         fail(str(error))
--- a/lapishaven/lab/field/receiver_process.py
+++ b/lapishaven/lab/field/receiver_process.py
@@ -24,7 +24,7 @@
     def set_full(self, is_full: bool) -> None:
         """Make the disk full, or undo it."""
         # With no more pages allowed than there are, SQLite reports a full disk.
-        self._connection.execute(f"pragma max_page_count = {1 if is_full else 1 << 30}")
+        self._file.connection.execute(f"pragma max_page_count = {1 if is_full else 1 << 30}")
 
     def copy_database(self, source: str, target: str) -> None:
         """Copy one database file over another."""
--- a/lapishaven/ledger/database.py
+++ b/lapishaven/ledger/database.py
@@ -10,8 +10,9 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from lapishaven import sqlite
 from lapishaven.ledger.transitions import Decision, EffectEvent, EffectRow, EffectState, decide
+from lapishaven.lock_waits import ObserveLock, ignore_lock_use
+from lapishaven.sqlite_file import SqliteFile
 
 SCHEMA_VERSION = 1
 BUSY_TIMEOUT_S = 1.0  # how long a transaction waits for another server's
@@ -75,45 +76,60 @@
     row: EffectRow
 
 
+def _prepare_schema(connection: sqlite3.Connection, path: str) -> None:
+    """Create or upgrade the schema in one transaction, so that a kill leaves the old version or the new one."""
+    version = connection.execute("pragma user_version").fetchone()[0]
+    if version > SCHEMA_VERSION:
+        raise LedgerError(
+            f"cannot open ledger {path}: schema version {version} is newer than the supported {SCHEMA_VERSION}"
+        )
+    if version == SCHEMA_VERSION:
+        return
+    connection.execute(EFFECT_SCHEMA)
+    connection.execute(LEDGER_SCHEMA)
+    if _has_attempt_log(connection):
+        connection.execute(IMPORT_ATTEMPT_LOG)
+    connection.execute(f"pragma user_version = {SCHEMA_VERSION}")
+
+
+def _has_attempt_log(connection: sqlite3.Connection) -> bool:
+    tables = connection.execute("select 1 from sqlite_master where type = 'table' and name = 'record'")
+    return tables.fetchone() is not None
+
+
 class LedgerDatabase:
     """One connection to the file at ``path``, which is created or migrated as needed.
 
-    ``busy_timeout_s`` is how long a call waits for other writers. Raises ``LedgerError`` if the file cannot be opened.
+    ``busy_timeout_s`` is how long a call waits for other writers. A file that another server holds locked is opened by
+    a later call. Raises ``LedgerError`` if the file cannot be used at all. ``observe_lock`` is told of each
+    transaction's wait for the write lock.
     """
 
-    def __init__(self, path: str, busy_timeout_s: float = BUSY_TIMEOUT_S) -> None:
-        self.path = path
+    def __init__(
+        self, path: str, busy_timeout_s: float = BUSY_TIMEOUT_S, observe_lock: ObserveLock = ignore_lock_use
+    ) -> None:
+        self._file = SqliteFile(
+            path, lambda connection: _prepare_schema(connection, path), busy_timeout_s, observe_lock
+        )
         try:
-            self._connection = sqlite.connect(path, busy_timeout_s)
-            self._migrate()
+            self._file.try_open()
         except sqlite3.Error as error:
             raise LedgerError(f"cannot open ledger {path}: {error}") from None
 
-    def _migrate(self) -> None:
-        """Create or upgrade the schema in one transaction, so that a kill leaves the old version or the new one."""
-        with sqlite.writing(self._connection):
-            version = self._connection.execute("pragma user_version").fetchone()[0]
-            if version > SCHEMA_VERSION:
-                raise LedgerError(
-                    f"cannot open ledger {self.path}: schema version {version} is newer than the supported"
-                    f" {SCHEMA_VERSION}"
-                )
-            if version == SCHEMA_VERSION:
-                return
-            self._connection.execute(EFFECT_SCHEMA)
-            self._connection.execute(LEDGER_SCHEMA)
-            if self._has_attempt_log():
-                self._connection.execute(IMPORT_ATTEMPT_LOG)
-            self._connection.execute(f"pragma user_version = {SCHEMA_VERSION}")
-
-    def _has_attempt_log(self) -> bool:
-        tables = self._connection.execute("select 1 from sqlite_master where type = 'table' and name = 'record'")
-        return tables.fetchone() is not None
+    @property
+    def path(self) -> str:
+        """The path of the file."""
+        return self._file.path
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the file has been opened; it is not while another server held it locked in all calls so far."""
+        return self._file.is_open
 
     def write(self, operations: Sequence[Operation]) -> list[OperationOutcome]:
         """Apply operations in order, in one durable transaction. Raises ``LedgerError``."""
         try:
-            with sqlite.writing(self._connection):
+            with self._file.writing("write"):
                 return [self._apply(operation) for operation in operations]
         except sqlite3.Error as error:
             raise LedgerError(f"cannot write {len(operations)} operations to ledger {self.path}: {error}") from None
@@ -134,7 +150,7 @@
         return OperationOutcome(decision, row)
 
     def _read_row(self, class_name: str, key: str) -> EffectRow:
-        found = self._connection.execute(
+        found = self._file.connection.execute(
             "select standing, start, result from effect where class = ? and key = ?", (class_name, key)
         ).fetchone()
         if found is None:
@@ -143,7 +159,7 @@
         return EffectRow(EffectState(state), incarnation, result)
 
     def _insert_effect(self, operation: Operation, state: EffectState) -> None:
-        self._connection.execute(
+        self._file.connection.execute(
             "insert into effect (class, key, standing, start, since, customer) values (?, ?, ?, ?, ?, ?)",
             (
                 operation.class_name,
@@ -156,12 +172,12 @@
         )
 
     def _delete_effect(self, operation: Operation) -> None:
-        self._connection.execute(
+        self._file.connection.execute(
             "delete from effect where class = ? and key = ?", (operation.class_name, operation.key)
         )
 
     def _end_effect(self, operation: Operation, state: EffectState) -> None:
-        self._connection.execute(
+        self._file.connection.execute(
             "update effect set standing = ?, ended = ?, result = ?, words = ? where class = ? and key = ?",
             (state.value, operation.at, operation.result, operation.words, operation.class_name, operation.key),
         )
@@ -169,22 +185,22 @@
     def _charge(self, operation: Operation) -> None:
         """Insert two entries that sum to 0. The primary key prevents a second charge of the same effect."""
         effect_id = operation.class_name, operation.key
-        (customer,) = self._connection.execute(
+        (customer,) = self._file.connection.execute(
             "select customer from effect where class = ? and key = ?", effect_id
         ).fetchone()
         entries = ((f"customer/{customer}", operation.words), (REVENUE_ACCOUNT, -operation.words))
         for account, words in entries:
-            self._connection.execute(
+            self._file.connection.execute(
                 "insert into ledger values (?, ?, ?, ?, ?)", (*effect_id, account, words, operation.at)
             )
 
     def read(self, query: str, values: tuple[object, ...] = ()) -> list[tuple[object, ...]]:
         """Execute a query and return its rows. Raises ``LedgerError``."""
         try:
-            return self._connection.execute(query, values).fetchall()
+            return self._file.connection.execute(query, values).fetchall()
         except sqlite3.Error as error:
             raise LedgerError(f"cannot read ledger {self.path}: {error}") from None
 
     def close(self) -> None:
         """Close the connection."""
-        self._connection.close()
+        self._file.close()
--- a/lapishaven/ownership/command.py
+++ b/lapishaven/ownership/command.py
@@ -9,7 +9,7 @@
 import os
 import time
 from collections.abc import Iterator, Sequence
-from contextlib import contextmanager, suppress
+from contextlib import closing, contextmanager, suppress
 from typing import Any
 
 from lapishaven.ownership.duties import restart
@@ -227,11 +227,10 @@
 @contextmanager
 def _open_store(path: str) -> Iterator[FencedStore]:
     try:
-        store = FencedStore(load(path).receiver, DUTY_SCHEMAS)
+        with closing(FencedStore(load(path).receiver, DUTY_SCHEMAS)) as store:
+            yield store
     except FencedStoreError as error:
         raise OwnershipError(str(error)) from None
-    yield store
-    store.close()
 
 
 def _print_table(columns: Sequence[str], rows: list[tuple[Any, ...]], as_json: bool) -> None:
--- a/lapishaven/ownership/coordinators/sqlite.py
+++ b/lapishaven/ownership/coordinators/sqlite.py
@@ -29,10 +29,10 @@
     SystemClock,
     View,
 )
+from lapishaven.sqlite_file import SqliteFile
 
 SCHEMA = """
 create table if not exists meta (one integer primary key check (one = 1), revision integer not null);
-insert or ignore into meta values (1, 1);
 create table if not exists session (
     id integer primary key, name text not null unique, start text not null, standing text not null,
     weight real not null, ttl real not null, count integer not null
@@ -55,9 +55,19 @@
     since: float
 
 
+def _prepare_schema(connection: sqlite3.Connection) -> None:
+    sqlite.script(connection, SCHEMA)
+    if connection.execute("select 1 from meta").fetchone() is None:
+        connection.execute("insert into meta values (1, 1)")
+
+
 class SqliteCoordinator:
-    """A coordinator in one file. A call that waits for other writers for more than ``busy_timeout_s`` raises
-    ``CoordinatorError``. ``observe_lock`` is told of each transaction's wait for the write lock."""
+    """A coordinator in one file.
+
+    A call that waits for other writers for more than ``busy_timeout_s`` raises ``CoordinatorError``. A file that is
+    locked as the process starts is opened by a later call. ``observe_lock`` is told of each transaction's wait for the
+    write lock.
+    """
 
     def __init__(
         self,
@@ -66,17 +76,19 @@
         busy_timeout_s: float = BUSY_TIMEOUT_S,
         observe_lock: ObserveLock = ignore_lock_use,
     ) -> None:
-        self._path = path
-        self._observe_lock = observe_lock
+        self._file = SqliteFile(path, _prepare_schema, busy_timeout_s, observe_lock)
         self._clock = clock or SystemClock()
         self._renewal_counts: dict[int, _RenewalCount] = {}  # by session, as observed by this process
         try:
-            self._connection = sqlite.connect(path, busy_timeout_s)
-            with sqlite.writing(self._connection, path, "open", observe_lock):
-                sqlite.script(self._connection, SCHEMA)
+            self._file.try_open()
         except sqlite3.Error as error:
             raise CoordinatorError(f"{path}: {error}") from None
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the file has been opened; it is not while another process held it locked in all calls so far."""
+        return self._file.is_open
+
     def join(self, record: MemberRecord, ttl: float) -> SessionGrant:
         """Open a session."""
         with self._reading():
@@ -179,37 +191,37 @@
 
     def close(self) -> None:
         """Close the file."""
-        self._connection.close()
+        self._file.close()
 
     # ---- Connection
     @contextmanager
     def _reading(self) -> Iterator[sqlite3.Connection]:
         try:
-            yield self._connection
+            yield self._file.connection
         except sqlite3.Error as error:
-            raise CoordinatorError(f"call to the coordinator {self._path} failed: {error}") from None
+            raise CoordinatorError(f"call to the coordinator {self._file.path} failed: {error}") from None
 
     @contextmanager
     def _writing(self, kind: str) -> Iterator[sqlite3.Connection]:
-        with self._reading() as connection, sqlite.writing(connection, self._path, kind, self._observe_lock):
+        with self._reading(), self._file.writing(kind) as connection:
             yield connection
 
     # ---- Sessions
     def _next_revision(self) -> int:
         """Increment the file's revision. Tokens are revisions, so they only increase."""
-        row = self._connection.execute("update meta set revision = revision + 1 returning revision").fetchone()
+        row = self._file.connection.execute("update meta set revision = revision + 1 returning revision").fetchone()
         return int(row[0])
 
     def _is_alive(self, session: int) -> bool:
-        return self._connection.execute("select 1 from session where id = ?", (session,)).fetchone() is not None
+        return self._file.connection.execute("select 1 from session where id = ?", (session,)).fetchone() is not None
 
     def _require_session(self, session: int) -> None:
         if not self._is_alive(session):
             raise SessionExpiredError
 
     def _end_session(self, session: int) -> None:
-        self._connection.execute("delete from session where id = ?", (session,))
-        self._connection.execute("delete from owner where session = ?", (session,))
+        self._file.connection.execute("delete from session where id = ?", (session,))
+        self._file.connection.execute("delete from owner where session = ?", (session,))
         self._next_revision()
 
     def _end_expired_sessions(self) -> None:
@@ -217,9 +229,9 @@
         expired = self._find_expired_sessions()
         if not expired:
             return
-        with sqlite.writing(self._connection, self._path, "end expired sessions", self._observe_lock):
+        with self._file.writing("end expired sessions"):
             for session, count in expired:
-                row = self._connection.execute("select count from session where id = ?", (session,)).fetchone()
+                row = self._file.connection.execute("select count from session where id = ?", (session,)).fetchone()
                 if row is not None and row[0] == count:
                     self._end_session(session)
 
@@ -228,7 +240,7 @@
         now = self._clock.now()
         expired: list[tuple[int, int]] = []
         observed: dict[int, _RenewalCount] = {}
-        for session, count, ttl in self._connection.execute("select id, count, ttl from session").fetchall():
+        for session, count, ttl in self._file.connection.execute("select id, count, ttl from session").fetchall():
             renewal_count = self._renewal_counts.get(session)
             if renewal_count is None or renewal_count.renewals != count:
                 renewal_count = _RenewalCount(count, now)
--- a/lapishaven/ownership/fenced_store.py
+++ b/lapishaven/ownership/fenced_store.py
@@ -9,7 +9,6 @@
 import json
 import sqlite3
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from contextlib import AbstractContextManager
 from dataclasses import dataclass
 from typing import Any
 
@@ -17,6 +16,7 @@
 from lapishaven.lock_waits import ObserveLock, ignore_lock_use
 from lapishaven.ownership.fence import EffectRequest, HighWaterMark, Verdict, advance, judge, judge_unfenced
 from lapishaven.ownership.model import Shard
+from lapishaven.sqlite_file import SqliteFile
 
 SCHEMA_VERSION = 1
 # ``fence_open`` has a row only within a transaction that applies an effect; the triggers allow writes only then.
@@ -79,9 +79,28 @@
         )
 
 
+def _prepare_schema(connection: sqlite3.Connection, path: str, duty_schemas: Iterable[DutySchema]) -> None:
+    version = connection.execute("pragma user_version").fetchone()[0]
+    if version > SCHEMA_VERSION:
+        raise FencedStoreError(
+            f"cannot open the store {path}: its schema version {version} is newer than {SCHEMA_VERSION},"
+            " the newest that this program supports"
+        )
+    sqlite.script(connection, SCHEMA)
+    for duty in duty_schemas:
+        sqlite.script(connection, duty.schema)
+        for table in duty.guarded_tables:
+            for trigger in _guard_triggers(table):
+                connection.execute(trigger)
+    if version != SCHEMA_VERSION:
+        connection.execute(f"pragma user_version = {SCHEMA_VERSION}")
+
+
 class FencedStore:
     """A store in one file, which processes may share. Not thread-safe: one thread at a time may use an instance.
 
+    A file that is locked as the process starts is opened by a later call.
+
     ``fenced=False`` is for measurements only: the baseline of leases without fencing. ``observe_lock`` is told of each
     transaction's wait for the write lock.
     """
@@ -94,34 +113,21 @@
         fenced: bool = True,
         observe_lock: ObserveLock = ignore_lock_use,
     ) -> None:
-        self._path = path
-        self._observe_lock = observe_lock
+        schemas = tuple(duty_schemas.values())
+        self._file = SqliteFile(
+            path, lambda connection: _prepare_schema(connection, path, schemas), busy_timeout_s, observe_lock
+        )
         self._judge = judge if fenced else judge_unfenced
-        self._effects = {name: effect for duty in duty_schemas.values() for name, effect in duty.effects.items()}
+        self._effects = {name: effect for duty in schemas for name, effect in duty.effects.items()}
         try:
-            self._connection = sqlite.connect(path, busy_timeout_s)
-            with self._writing("open"):
-                self._create_tables(path, duty_schemas.values())
+            self._file.try_open()
         except sqlite3.Error as error:
             raise FencedStoreError(f"cannot open the store {path}: {error}") from None
 
-    def _writing(self, kind: str) -> AbstractContextManager[None]:
-        return sqlite.writing(self._connection, self._path, kind, self._observe_lock)
-
-    def _create_tables(self, path: str, duty_schemas: Iterable[DutySchema]) -> None:
-        version = self._connection.execute("pragma user_version").fetchone()[0]
-        if version > SCHEMA_VERSION:
-            raise FencedStoreError(
-                f"cannot open the store {path}: its schema version {version} is newer than {SCHEMA_VERSION},"
-                " the newest that this program supports"
-            )
-        sqlite.script(self._connection, SCHEMA)
-        for duty in duty_schemas:
-            sqlite.script(self._connection, duty.schema)
-            for table in duty.guarded_tables:
-                for trigger in _guard_triggers(table):
-                    self._connection.execute(trigger)
-        self._connection.execute(f"pragma user_version = {SCHEMA_VERSION}")
+    @property
+    def is_open(self) -> bool:
+        """Whether the file has been opened; it is not while another process held it locked in all calls so far."""
+        return self._file.is_open
 
     def admit(self, request: EffectRequest, effect: str, detail: Any) -> Admission:
         """Judge a request and, if it is admitted, apply its effect, in one transaction. Raises ``FencedStoreError`` if
@@ -130,16 +136,16 @@
         if apply is None:
             raise FencedStoreError(f"no effect {effect!r}")
         try:
-            with self._writing("admit"):
+            with self._file.writing("admit"):
                 mark = self._read_mark(request.shard)
                 verdict = self._judge(mark, request)
                 if verdict is Verdict.REPEAT:
                     return Admission(verdict, mark.token, mark.effect_count, self._first_answer(request))
                 if verdict is not Verdict.ADMIT:
                     return Admission(verdict, mark.token, mark.effect_count)
-                self._connection.execute("insert into fence_open values (1)")
-                answer = apply(self._connection, detail)
-                self._connection.execute("delete from fence_open")
+                self._file.connection.execute("insert into fence_open values (1)")
+                answer = apply(self._file.connection, detail)
+                self._file.connection.execute("delete from fence_open")
                 new_mark = advance(mark, request)
                 self._write_mark(request.shard, new_mark)
                 self._log_effect(request, effect, detail, answer)
@@ -148,26 +154,26 @@
             raise FencedStoreError(f"{effect}: {error}") from None
 
     def _read_mark(self, shard: Shard) -> HighWaterMark:
-        row = self._connection.execute(
+        row = self._file.connection.execute(
             "select token, number, held from fence_mark where duty = ? and shard = ?", shard
         ).fetchone()
         return HighWaterMark(*row) if row else HighWaterMark()
 
     def _write_mark(self, shard: Shard, mark: HighWaterMark) -> None:
-        self._connection.execute(
+        self._file.connection.execute(
             "insert or replace into fence_mark values (?, ?, ?, ?, ?)",
             (*shard, mark.token, mark.number, mark.effect_count),
         )
 
     def _first_answer(self, request: EffectRequest) -> Any:
-        row = self._connection.execute(
+        row = self._file.connection.execute(
             "select answer from fence_log where duty = ? and shard = ? and token = ? and number = ?",
             (*request.shard, request.token, request.number),
         ).fetchone()
         return json.loads(row[0]) if row else None
 
     def _log_effect(self, request: EffectRequest, effect: str, detail: Any, answer: Any) -> None:
-        self._connection.execute(
+        self._file.connection.execute(
             "insert into fence_log (duty, shard, token, number, effect, detail, answer) values (?, ?, ?, ?, ?, ?, ?)",
             (*request.shard, request.token, request.number, effect, json.dumps(detail), json.dumps(answer)),
         )
@@ -175,18 +181,20 @@
     def write(self, work: Callable[[sqlite3.Connection], Any]) -> Any:
         """Run ``work`` in one transaction, for writes to tables that are not guarded (reports of members)."""
         try:
-            with self._writing("report"):
-                return work(self._connection)
+            with self._file.writing("report"):
+                return work(self._file.connection)
         except sqlite3.Error as error:
-            raise FencedStoreError(f"cannot write to the store {self._path}, nothing was written: {error}") from None
+            raise FencedStoreError(
+                f"cannot write to the store {self._file.path}, nothing was written: {error}"
+            ) from None
 
     def read(self, query: str, values: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]:
         """Run a query and return all rows."""
         try:
-            return self._connection.execute(query, values).fetchall()
+            return self._file.connection.execute(query, values).fetchall()
         except sqlite3.Error as error:
-            raise FencedStoreError(f"cannot read from the store {self._path}: {error}") from None
+            raise FencedStoreError(f"cannot read from the store {self._file.path}: {error}") from None
 
     def close(self) -> None:
         """Close the file."""
-        self._connection.close()
+        self._file.close()
--- a/lapishaven/ownership/notices.py
+++ b/lapishaven/ownership/notices.py
@@ -28,6 +28,7 @@
     RESTARTING = "restarting"
     OVERLOADED = "overloaded"
     SLOW_LOCK = "slow lock"
+    WAITING = "waiting"
 
 
 @dataclass(frozen=True, slots=True)
--- a/lapishaven/ownership/participant.py
+++ b/lapishaven/ownership/participant.py
@@ -19,7 +19,10 @@
 from lapishaven.lock_waits import LockUse, LockWaits, ObserveLock, ignore_lock_use
 from lapishaven.ownership.agent import Agent, Duty
 from lapishaven.ownership.consumption import ConsumptionRecorder
+from lapishaven.ownership.coordinators.sqlite import BUSY_TIMEOUT_S as COORDINATOR_BUSY_TIMEOUT_S
+from lapishaven.ownership.coordinators.sqlite import SqliteCoordinator
 from lapishaven.ownership.duties import budgets, periods, restart
+from lapishaven.ownership.fenced_store import BUSY_TIMEOUT_S as RECEIVER_BUSY_TIMEOUT_S
 from lapishaven.ownership.fenced_store import DutySchema, FencedStore, FencedStoreError
 from lapishaven.ownership.member import Member
 from lapishaven.ownership.model import Clock, Coordinator, CoordinatorError, MemberRecord, MemberState, SystemClock
@@ -53,8 +56,6 @@
 
             host, port = settings.coordinator
             return EtcdCoordinator(host, port, settings.prefix, settings.rules.ttl / ETCD_TIMEOUTS_PER_TTL)
-        from lapishaven.ownership.coordinators.sqlite import SqliteCoordinator
-
         return SqliteCoordinator(settings.coordinator, clock, observe_lock=observe_lock)
     except ImportError:
         raise OwnershipError(
@@ -110,6 +111,7 @@
             self._quota = QuotaClient(name, settings.budgets, contracts, classes, self._clock)
         self._restarts = RestartReporter(name, self.incarnation, settings.obeys_restarts, settings.supervised)
         self.agent = self._agent(self._duties(contracts, classes))
+        self._log_locked_files()
         self._overload = OverloadDetector(settings.overload) if settings.overload is not None else None
         # Totals since the start; written by the event path, read by the reporter.
         self._answers = 0
@@ -120,6 +122,16 @@
         self._reporter = threading.Thread(target=self._run_reporter, name="errands", daemon=True)
 
     # ---- Construction
+    def _log_locked_files(self) -> None:
+        """Log each file that another process holds locked: it is opened by a later call, and the server serves."""
+        coordinator = self.settings.coordinator
+        locked = [(self.settings.receiver, RECEIVER_BUSY_TIMEOUT_S)] if not self._worker_store.is_open else []
+        if isinstance(self.agent.driver.coordinator, SqliteCoordinator) and not self.agent.driver.coordinator.is_open:
+            locked.append((str(coordinator), COORDINATOR_BUSY_TIMEOUT_S))
+        for path, timeout_s in locked:
+            why = f"locked by another process; opening it is repeated, each call waits up to {timeout_s:g} s"
+            self._log_event(NoticeKind.WAITING.value, {"file": path, "why": why})
+
     def _consumption_recorder(self) -> ConsumptionRecorder | None:
         settings = self.settings.periods
         if settings is None:
--- a/lapishaven/sqlite.py
+++ b/lapishaven/sqlite.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import sqlite3
 import time
 from collections.abc import Iterator
@@ -10,6 +11,9 @@
 from lapishaven.lock_waits import LockUse, ObserveLock, ignore_lock_use
 
 WAL_RETRY_INTERVAL_S = 0.01
+LOCK_POLL_S = (0.02, 0.06)
+DEFAULT_BUSY_TIMEOUT_S = 5.0  # as of ``sqlite3.connect``
+MS_PER_S = 1000
 PRIMARY_CODE_MASK = 0xFF  # an extended result code has the primary code in its low byte
 
 
@@ -39,12 +43,22 @@
             connection.execute("pragma journal_mode = wal")
             return
         except sqlite3.OperationalError as error:
-            is_busy = error.sqlite_errorcode & PRIMARY_CODE_MASK == sqlite3.SQLITE_BUSY
-            if not is_busy or time.monotonic() >= deadline:
+            if not is_locked(error) or time.monotonic() >= deadline:
                 raise
         time.sleep(WAL_RETRY_INTERVAL_S)
 
 
+def is_locked(error: sqlite3.Error) -> bool:
+    """Whether a call failed because another process held the file locked for longer than the busy timeout."""
+    code = getattr(error, "sqlite_errorcode", 0) & PRIMARY_CODE_MASK
+    return code in (sqlite3.SQLITE_BUSY, sqlite3.SQLITE_LOCKED, sqlite3.SQLITE_PROTOCOL)
+
+
+def set_busy_timeout(connection: sqlite3.Connection, busy_timeout_s: float) -> None:
+    """Set how long a call waits for other processes."""
+    connection.execute(f"pragma busy_timeout = {round(busy_timeout_s * MS_PER_S)}")
+
+
 def script(connection: sqlite3.Connection, statements: str) -> None:
     """Execute several statements within the open transaction; ``executescript`` would commit it first.
 
@@ -54,17 +68,44 @@
         connection.execute(statement)
 
 
+def _begin(connection: sqlite3.Connection, busy_timeout_s: float) -> None:
+    """Take the write lock, which is asked for at random intervals for up to ``busy_timeout_s``.
+
+    SQLite's own busy handler asks less often the longer it has waited, every 100 ms in the end, so that under steady
+    contention those that wait longest are passed by all others. Here all that wait ask equally often, and rarely enough
+    not to take the processor from the process that holds the lock.
+    """
+    deadline = time.monotonic() + busy_timeout_s
+    set_busy_timeout(connection, 0.0)
+    try:
+        while True:
+            try:
+                connection.execute("begin immediate")
+                return
+            except sqlite3.OperationalError as error:
+                if not is_locked(error) or time.monotonic() >= deadline:
+                    raise
+            time.sleep(random.uniform(*LOCK_POLL_S))
+    finally:
+        set_busy_timeout(connection, busy_timeout_s)
+
+
 @contextmanager
 def writing(
-    connection: sqlite3.Connection, path: str = "", kind: str = "", observe: ObserveLock = ignore_lock_use
+    connection: sqlite3.Connection,
+    path: str = "",
+    kind: str = "",
+    observe: ObserveLock = ignore_lock_use,
+    busy_timeout_s: float = DEFAULT_BUSY_TIMEOUT_S,
 ) -> Iterator[None]:
     """Run the block in a transaction (``BEGIN IMMEDIATE``); any exception rolls it back. Raises ``sqlite3.Error``.
 
-    ``observe`` is told how long the transaction waited for the write lock and held it; ``path`` and ``kind`` name it.
+    Waits up to ``busy_timeout_s`` for the write lock. ``observe`` is told how long the transaction waited for it and
+    held it; ``path`` and ``kind`` name it.
     """
     began_at = time.monotonic()
     try:
-        connection.execute("begin immediate")
+        _begin(connection, busy_timeout_s)
     except sqlite3.Error:
         observe(LockUse(path, kind, time.monotonic() - began_at, None))
         raise
