Answer everything before the kill of an upgrade, which may come before stop_ms

Callers saw: a request read by an old process was cut without an answer as the platform killed it. Mend: on an inherited socket the earlier of both holds, at SIGTERM and at a reload after it.

--- a/lapishaven/server/config_reload.py
+++ b/lapishaven/server/config_reload.py
@@ -75,7 +75,7 @@
             stop_timeout_s=files.config.stop_timeout_s,
             settings=settings,
         )
-        self._shutdown.shorten(files.config.stop_timeout_s)
+        self._shutdown.shorten(self._running.seconds_to_kill())
         self._log_completed(before, files.config)
 
     def _read(self) -> ConfigFiles:
--- a/lapishaven/server/running_config.py
+++ b/lapishaven/server/running_config.py
@@ -6,6 +6,7 @@
 
 from lapishaven.config import ConfigFiles, NodeConfig
 from lapishaven.core.contracts import Contract
+from lapishaven.server.kill_time import seconds_to_kill
 
 if TYPE_CHECKING:
     from lapishaven.pools import PoolSettings
@@ -22,3 +23,8 @@
         """Indexes of the classes that callers may use in the settings, by class name."""
         self.tenants = {tenant.name: index for index, tenant in enumerate(files.config.settings.tenants)}
         """Indexes of the tenants in the settings, by tenant name."""
+
+    def seconds_to_kill(self) -> float:
+        """Seconds from SIGTERM to SIGKILL, at the least."""
+        deadlines = [self.config.settings.classes[index].deadline for index in self.classes.values()]
+        return seconds_to_kill(self.config.stop_timeout_s, self.config.inherited_fd is not None, deadlines)
--- a/lapishaven/server/server.py
+++ b/lapishaven/server/server.py
@@ -258,7 +258,7 @@
             self.listeners[0].close()
             self.reporter.close()
         began_at = self.loop.now if noticed_at is None else noticed_at
-        self.shutdown.begin(began_at, self.config.stop_timeout_s, self.config.settings.drain_grace)
+        self.shutdown.begin(began_at, self.running.seconds_to_kill(), self.config.settings.drain_grace)
 
     def _close_components(self) -> None:
         """Close all components, the admin server first as its metrics read the others, and log the counters."""
