Add a seeded soak of real processes: signals, upgrades, kills and outages under load

The log takes several attempts at one effect (keyed repeats); callers number their connections apart.

--- a/lapishaven/cli/lab.py
+++ b/lapishaven/cli/lab.py
@@ -63,3 +63,21 @@
         fail(f"cannot run the {mode} trial: {error.strerror or error}")
     print(json.dumps({**report.figures(), "reasons": report.verdict.reasons}))
     raise typer.Exit(0 if report.verdict.clean and not report.crashes else 1)
+
+
+@app.command()
+def soak(
+    seeds: Annotated[str, typer.Option("--seeds", help="Seeds to run, A-B or A.")] = "1-4",
+    jobs: Annotated[int, typer.Option("--jobs", min=1, max=16, help="Seeds at a time.")] = 2,
+    minutes: Annotated[float, typer.Option("--minutes", min=0.1, help="Begin no seed after this many minutes.")] = 60.0,
+    json_path: Annotated[str | None, typer.Option("--json", help="Write all results to this file.")] = None,
+    log_folder: Annotated[str, typer.Option("--logs", help="Folder for the logs of seeds that failed.")] = "logs",
+) -> None:
+    """Run seeded series of signals, upgrades, kills and outages on real servers; exit 1 if any rule was broken."""
+    from lapishaven.lab.soak.command import parse_seeds
+    from lapishaven.lab.soak.command import soak as run_soak
+
+    try:
+        raise typer.Exit(run_soak(parse_seeds(seeds), jobs, minutes, json_path, log_folder))
+    except (ValueError, OSError) as error:
+        fail(str(error))
--- a/lapishaven/lab/handover/book.py
+++ b/lapishaven/lab/handover/book.py
@@ -46,12 +46,13 @@
 class SentRequest:
     """One request that a caller sent or could not send."""
 
-    body: bytes  # unique within a log; identifies the request in the interpreter's records
+    body: bytes  # identifies the effect in the interpreter's records; the same for all attempts at it
     class_name: str
     run_once: bool  # of a class that must run at most once
     sent_at: float
     due_at: float
     connection: int | None  # None if no connection could be made
+    name: bytes = b""  # of the attempt, unique within a log; the body unless an effect is attempted several times
     outcome: RequestOutcome | None = None
     ended_at: float = 0.0
     reason: str = ""
@@ -107,29 +108,41 @@
     runs: list[Run] = field(default_factory=list)
     terminations: dict[str, float] = field(default_factory=dict)  # process name to the time of SIGTERM
     _open_by_connection: dict[int, dict[bytes, SentRequest]] = field(default_factory=dict)
+    _attempts_by_body: dict[bytes, list[SentRequest]] = field(default_factory=dict)
 
     def record_sent(
-        self, at: float, body: bytes, class_name: str, run_once: bool, deadline: float, connection: int
+        self,
+        at: float,
+        body: bytes,
+        class_name: str,
+        run_once: bool,
+        deadline: float,
+        connection: int,
+        name: bytes = b"",
     ) -> None:
         """The request was written to the connection with this number, which the caller chooses.
 
-        Raises ``ValueError`` if the log already has a request with this body.
+        A further attempt at an effect has the body of the first one and a ``name`` of its own, which stands for the
+        body elsewhere. Raises ``ValueError`` if the log already has a request with this name or, without one, body.
         """
-        if body in self.requests:
-            raise ValueError(f"request body {body[:64]!r} was sent before; each body in a request log must be unique")
-        request = SentRequest(body, class_name, run_once, at, at + deadline, connection)
-        self.requests[body] = request
-        self._open_by_connection.setdefault(connection, {})[body] = request
+        name = name or body
+        if name in self.requests:
+            raise ValueError(f"request body {name[:64]!r} was sent before; each body in a request log must be unique")
+        request = SentRequest(body, class_name, run_once, at, at + deadline, connection, name)
+        self.requests[name] = request
+        self._open_by_connection.setdefault(connection, {})[name] = request
+        self._attempts_by_body.setdefault(body, []).append(request)
 
     def record_dial_failure(self, at: float, body: bytes, class_name: str, run_once: bool, deadline: float) -> None:
         """No connection could be made for the request."""
-        request = SentRequest(body, class_name, run_once, at, at + deadline, None)
+        request = SentRequest(body, class_name, run_once, at, at + deadline, None, body)
         self.requests[body] = request
+        self._attempts_by_body.setdefault(body, []).append(request)
         self._set_outcome(request, at, RequestOutcome.DIAL_REFUSED)
 
-    def record_answer(self, at: float, body: bytes, outcome: RequestOutcome, reason: str = "") -> None:
+    def record_answer(self, at: float, name: bytes, outcome: RequestOutcome, reason: str = "") -> None:
         """An answer came: ``SERVED``, ``REFUSED`` or ``FAILED``. Further answers to the request are only counted."""
-        request = self.requests[body]
+        request = self.requests[name]
         request.answers += 1
         if request.answers > 1:
             return
@@ -161,22 +174,6 @@
             if request.outcome is None and now > request.due_at + SLACK_S:
                 self._set_outcome(request, now, RequestOutcome.UNANSWERED)
         outcomes = Counter(request.outcome for request in self.requests.values() if request.outcome is not None)
-        late = 0
-        for run in self.runs:
-            terminated_at, sent_request = self.terminations.get(run.process), self.requests.get(run.body)
-            if (
-                terminated_at is not None
-                and sent_request is not None
-                and sent_request.sent_at > terminated_at + GRACE_S + SLACK_S
-            ):
-                late += 1
-        runs_begun = Counter(run.body for run in self.runs)
-        refused_after_run = sum(
-            1 for body in runs_begun if body in self.requests and self.requests[body].outcome is RequestOutcome.REFUSED
-        )
-        twice = sum(
-            1 for body, n in runs_begun.items() if n > 1 and body in self.requests and self.requests[body].run_once
-        )
         reasons = Counter(
             request.reason for request in self.requests.values() if request.outcome is RequestOutcome.REFUSED
         )
@@ -191,13 +188,49 @@
             outcomes[RequestOutcome.UNANSWERED],
             sum(request.late for request in self.requests.values()),
             sum(max(0, request.answers - 1) for request in self.requests.values()),
-            late,
-            refused_after_run,
-            twice,
+            len(self.late_runs()),
+            len(self.refused_after_run()),
+            len(self.run_twice()),
             dict(sorted(reasons.items())),
         )
 
+    # ---- Rules that only the interpreters' runs can show
+    def late_runs(self) -> list[Run]:
+        """Runs that a process began for requests all sent more than ``GRACE_S + SLACK_S`` after its SIGTERM."""
+        return [run for run in self.runs if self._is_late(run)]
+
+    def _is_late(self, run: Run) -> bool:
+        terminated_at, attempts = self.terminations.get(run.process), self._attempts_by_body.get(run.body)
+        if terminated_at is None or not attempts:
+            return False
+        return min(attempt.sent_at for attempt in attempts) > terminated_at + GRACE_S + SLACK_S
+
+    def refused_after_run(self) -> list[SentRequest]:
+        """Requests that were refused although a run of their effect had begun, or began without another attempt."""
+        runs = self._runs_by_body()
+        refused = [request for request in self.requests.values() if request.outcome is RequestOutcome.REFUSED]
+        return [request for request in refused if self._may_have_run(request, runs.get(request.body, []))]
+
+    def _may_have_run(self, request: SentRequest, runs: list[Run]) -> bool:
+        """Whether one of ``runs``, those of its body, began before the request's answer or for no other attempt."""
+        others = [other for other in self._attempts_by_body[request.body] if other is not request]
+        return any(run.at <= request.ended_at or not any(other.sent_at <= run.at for other in others) for run in runs)
+
+    def run_twice(self) -> list[bytes]:
+        """Bodies of a class that must run at most once, for which several runs began."""
+        return [
+            body
+            for body, runs in self._runs_by_body().items()
+            if len(runs) > 1 and any(attempt.run_once for attempt in self._attempts_by_body.get(body, []))
+        ]
+
+    def _runs_by_body(self) -> dict[bytes, list[Run]]:
+        runs: dict[bytes, list[Run]] = {}
+        for run in self.runs:
+            runs.setdefault(run.body, []).append(run)
+        return runs
+
     def _set_outcome(self, request: SentRequest, at: float, outcome: RequestOutcome) -> None:
         request.outcome, request.ended_at = outcome, at
         if request.connection is not None:
-            self._open_by_connection.get(request.connection, {}).pop(request.body, None)
+            self._open_by_connection.get(request.connection, {}).pop(request.name, None)
--- a/lapishaven/lab/handover/caller.py
+++ b/lapishaven/lab/handover/caller.py
@@ -3,7 +3,8 @@
 It keeps up to ``connections`` connections and sends each request on the one with the fewest open requests, at its
 planned time whatever the server does. After a ``draining`` notice it sends nothing more on that connection, as the
 protocol requires, unless ``heed_draining`` is false, which stands for a misbehaving caller. When a connection cannot
-be made, is reset or is closed, the outcome is recorded for every request on it.
+be made, is reset or is closed, the outcome is recorded for every request on it. A share of the requests of keyed
+classes is sent once more on the same connection, under the same key and body.
 """
 
 from __future__ import annotations
@@ -31,6 +32,9 @@
     seconds: float
     connections: int = 8
     heed_draining: bool = True
+    keyed_classes: frozenset[str] = frozenset()  # their requests bear an idempotency key
+    repeat_share: float = 0.0  # of keyed requests that are sent once more
+    max_repeat_delay_s: float = 1.5
 
 
 @dataclass(slots=True)
@@ -39,7 +43,8 @@
 
     number: int
     writer: asyncio.StreamWriter
-    bodies: dict[int, bytes] = field(default_factory=dict)  # body by request id, for all requests sent on it
+    opened_at: float  # on the loop's clock
+    names: dict[int, bytes] = field(default_factory=dict)  # by request id, as the log names the requests sent on it
     open_ids: set[int] = field(default_factory=set)  # of the requests that have no answer yet
     next_id: int = 1
     draining: bool = False
@@ -63,12 +68,22 @@
 class Caller:
     """Sends planned requests to ``address`` and records every request and its outcome in ``log``."""
 
-    def __init__(self, address: tuple[str, int], log: RequestLog, load: Load, random: Random, tag: str = "r") -> None:
-        """``tag`` starts every request body, which keeps bodies of several callers distinct."""
+    def __init__(
+        self,
+        address: tuple[str, int],
+        log: RequestLog,
+        load: Load,
+        random: Random,
+        tag: str = "r",
+        first_connection: int = 1,
+    ) -> None:
+        """Callers that share a log differ in ``tag``, which starts their request bodies, and by far in
+        ``first_connection``, from which on they number their connections."""
         self.address, self.log, self.load, self.random, self.tag = address, log, load, random, tag
         self.connections: list[Connection] = []
         self.ranks = {name: rule.rank for name, rule in site.rules().items()}
-        self._connection_count = 0
+        self._next_connection = first_connection
+        self._repeats: set[asyncio.TimerHandle] = set()
         self._readers: set[asyncio.Task[None]] = set()
 
     async def run(self, planned: Sequence[tuple[float, site.RequestClass]]) -> None:
@@ -84,6 +99,8 @@
 
     async def close(self) -> None:
         """Close all connections and stop reading."""
+        for timer in self._repeats:
+            timer.cancel()
         for connection in self.connections:
             self._close_connection(connection)
         for task in list(self._readers):
@@ -96,6 +113,17 @@
         if connection is None:
             self.log.record_dial_failure(loop.time(), body, kind.name, not kind.safe, kind.deadline_s)
             return
+        self._write(connection, body, kind)
+        if kind.name in self.load.keyed_classes and self.random.random() < self.load.repeat_share:
+            delay_s = self.random.uniform(0.0, self.load.max_repeat_delay_s)
+            self._repeats.add(loop.call_later(delay_s, self._repeat, connection, body, kind))
+
+    def _repeat(self, connection: Connection, body: bytes, kind: site.RequestClass) -> None:
+        """Send a keyed request once more, if its connection, and so its server, is still there."""
+        if not connection.closed and not (connection.draining and self.load.heed_draining):
+            self._write(connection, body, kind, name=body + b" again")
+
+    def _write(self, connection: Connection, body: bytes, kind: site.RequestClass, name: bytes = b"") -> None:
         request_id, connection.next_id = connection.next_id, connection.next_id + 1
         call_id = f"{self.random.getrandbits(64):016x}"
         data = jsonrpc.encode_request(
@@ -106,12 +134,15 @@
             HEAP_KB,
             received_at=time.time(),
             caller_id=1,
-            rank=self.ranks[kind.name],
+            is_retry=bool(name),
+            rank=self.ranks.get(kind.name, 0.0),
+            idempotency_key=body.decode() if kind.name in self.load.keyed_classes else None,
         )
-        connection.bodies[request_id] = body
+        connection.names[request_id] = name or body
         connection.open_ids.add(request_id)
         connection.writer.write(data)
-        self.log.record_sent(loop.time(), body, kind.name, not kind.safe, kind.deadline_s, connection.number)
+        sent_at = asyncio.get_running_loop().time()
+        self.log.record_sent(sent_at, body, kind.name, not kind.safe, kind.deadline_s, connection.number, name)
 
     async def _choose_connection(self) -> Connection | None:
         usable = [
@@ -125,8 +156,8 @@
             _, writer = await asyncio.wait_for(asyncio.open_connection(*self.address), DIAL_TIMEOUT_S)
         except (OSError, TimeoutError):
             return min(usable, key=lambda connection: len(connection.open_ids)) if usable else None
-        self._connection_count += 1
-        connection = Connection(self._connection_count, writer)
+        connection = Connection(self._next_connection, writer, asyncio.get_running_loop().time())
+        self._next_connection += 1
         self.connections.append(connection)
         reader = asyncio.get_running_loop().create_task(self._read(connection, _))
         self._readers.add(reader)
@@ -154,16 +185,16 @@
         if isinstance(reply, jsonrpc.Draining):
             connection.draining = True
             return
-        body = connection.bodies.get(reply.id) if reply.id is not None else None
-        if body is None:
+        name = connection.names.get(reply.id) if reply.id is not None else None
+        if name is None:
             return
         connection.open_ids.discard(reply.id)  # type: ignore[arg-type]
         if isinstance(reply, jsonrpc.ResultResponse):
-            self.log.record_answer(now, body, RequestOutcome.SERVED)
+            self.log.record_answer(now, name, RequestOutcome.SERVED)
         elif reply.code == jsonrpc.REJECTED_CODE:
-            self.log.record_answer(now, body, RequestOutcome.REFUSED, reply.text)
+            self.log.record_answer(now, name, RequestOutcome.REFUSED, reply.text)
         else:
-            self.log.record_answer(now, body, RequestOutcome.FAILED, reply.text)
+            self.log.record_answer(now, name, RequestOutcome.FAILED, reply.text)
 
     def _close_connection(self, connection: Connection) -> None:
         if not connection.closed:
--- a/lapishaven/lab/handover/platform.py
+++ b/lapishaven/lab/handover/platform.py
@@ -223,6 +223,15 @@
         ready_at = await self.ready(new)
         return Handover(ready_at - new.started_at, left_s, old.killed, old.child.returncode)
 
+    def reload(self, process: Process, config: str) -> None:
+        """Replace the process's configuration file, and send SIGHUP."""
+        path = self.folder / f"{process.name}.json"
+        new_path = path.with_suffix(".new")
+        new_path.write_text(config)
+        new_path.rename(path)
+        if process.child.returncode is None:
+            process.child.send_signal(signal.SIGHUP)
+
     async def terminate(self, process: Process, kill_after: float) -> float:
         """Send SIGTERM, and SIGKILL after ``kill_after`` seconds; return the seconds until the process had ended."""
         process.end_expected = True
@@ -236,6 +245,10 @@
             await self.signal_and_wait(process, signal.SIGKILL)
         return self.loop.time() - process.terminated_at
 
+    async def kill(self, process: Process) -> None:
+        """End a process with SIGKILL, without notice."""
+        await self.signal_and_wait(process, signal.SIGKILL)
+
     async def signal_and_wait(self, process: Process, signal_number: signal.Signals) -> None:
         """Send a signal to a process that still runs, and wait for its end."""
         if process.child.returncode is None:
--- a/lapishaven/lab/interpreter.py
+++ b/lapishaven/lab/interpreter.py
@@ -193,12 +193,34 @@
         """Multiply the speed by ``factor`` from now on."""
         self.factor = self.cores.factor = factor
 
-    async def open(self, host: str) -> None:
-        """Listen on a free port of ``host`` and start to advance the runs."""
-        self._server = await asyncio.start_server(self._serve, host, 0)
-        self.address = self._server.sockets[0].getsockname()[:2]
+    async def open(self, host: str, port: int = 0) -> None:
+        """Listen on ``port`` of ``host``, or on a free one, and start to advance the runs."""
+        await self.listen(host, port)
         self._spawn(self._step_cores())
 
+    async def listen(self, host: str, port: int = 0) -> None:
+        """Listen on ``port`` of ``host``, or on a free one, in place of the present address. The runs stay."""
+        self.hide()
+        self._server = await asyncio.start_server(self._serve, host, port)
+        self.address = self._server.sockets[0].getsockname()[:2]
+
+    def hide(self) -> None:
+        """Stop listening. Runs and the open connection stay."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    @property
+    def hidden(self) -> bool:
+        """Whether it does not listen."""
+        return self._server is None
+
+    def cut(self) -> None:
+        """Abort the backend's connection. Runs go on."""
+        if self._connection is not None:
+            self._connection.transport.abort()
+            self._connection = None
+
     async def close(self) -> None:
         """Stop listening, drop every run and end all tasks."""
         if self._server is not None:
--- a/lapishaven/proto/jsonrpc.py
+++ b/lapishaven/proto/jsonrpc.py
@@ -223,6 +223,7 @@
     is_retry: bool = False,
     rank: float = 0.0,
     subject: int | None = None,
+    idempotency_key: str | None = None,
 ) -> bytes:
     """The line of one request. ``received_at`` is in Unix seconds."""
     params: dict[str, Any] = {"call": attempt_id, "src": caller_id, "heap": memory_kb, "crit": rank}
@@ -232,6 +233,8 @@
         params["rep"] = 1
     if subject is not None:
         params["row"] = f"{subject:016x}"
+    if idempotency_key is not None:
+        params["dedupe"] = idempotency_key
     params["arg"] = base64.b64encode(body).decode()
     return _encode_line({"id": id, "method": method, "params": params})
 
