Stop the relays' listeners before their tasks, so that no connection is served half

Relay._serve was seen 'never awaited' at a test's end: a connection accepted while the tasks were being cancelled began its task afterwards, and the loop was closed over it. The listeners are closed first, and tasks are cancelled until none is left. Cancelled relays no longer print 'Exception in callback' (asyncio reads the exception of a cancelled task). Not forced by a test: seen once, mended by reading.

--- a/lapishaven/lab/field/relay.py
+++ b/lapishaven/lab/field/relay.py
@@ -47,6 +47,11 @@
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
+    def stop_listening(self) -> None:
+        """Accept no further connections."""
+        if self._server is not None:
+            self._server.close()
+
     async def set_mode(self, mode: RelayMode) -> None:
         """Set the mode, also for open connections."""
         self.mode = mode
@@ -71,8 +76,8 @@
             await asyncio.gather(
                 self._forward(reader, target_writer, True), self._forward(target_reader, writer, False)
             )
-        except OSError:
-            pass
+        except (OSError, asyncio.CancelledError):
+            pass  # a peer or the relay has closed
         finally:
             self._writers -= writers
             for open_writer in writers:
@@ -102,6 +107,7 @@
 
     def __enter__(self) -> Relays:
         self._loop = asyncio.new_event_loop()
+        self._relays: list[Relay] = []
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         self._thread.start()
         return self
@@ -116,6 +122,7 @@
         """Open a relay to a port on loopback."""
         relay = self._call_on_loop(lambda: Relay(("127.0.0.1", port)))
         asyncio.run_coroutine_threadsafe(relay.open(), self._loop).result(10.0)
+        self._relays.append(relay)
         return relay
 
     def set_mode(self, relay: Relay, mode: RelayMode) -> None:
@@ -128,10 +135,13 @@
 
     def __exit__(self, *_: object) -> None:
         async def close() -> None:
-            remaining = asyncio.all_tasks() - {asyncio.current_task()}
-            for task in remaining:
-                task.cancel()
-            await asyncio.gather(*remaining, return_exceptions=True)
+            for relay in self._relays:
+                relay.stop_listening()
+            # A connection that was accepted just before begins its task in a later iteration of the loop.
+            while remaining := asyncio.all_tasks() - {asyncio.current_task()}:
+                for task in remaining:
+                    task.cancel()
+                await asyncio.gather(*remaining, return_exceptions=True)
 
         asyncio.run_coroutine_threadsafe(close(), self._loop).result(10.0)
         self._loop.call_soon_threadsafe(self._loop.stop)
