Go on probing a silent endpoint: bound the backoff, and keep the check of a probe whose timeout grew

Cause: 1.5**unanswered overflows after 1,750 probes; and a probe's only check was dropped where it came before the timeout, as that had grown or exceeds the longest probe interval. Mend: the exponent is bounded; a probe knows its own check, which is repeated at the timeout.

--- a/lapishaven/load_balancing/failure_detector.py
+++ b/lapishaven/load_balancing/failure_detector.py
@@ -21,6 +21,7 @@
 MIN_RECENT_PROBES = RECENT_PROBES // 4  # with fewer results there is no panic mode
 MAX_PROBE_INTERVAL_S = 2.0  # upper bound of the interval between probes of a suspected endpoint, before jitter
 PROBE_BACKOFF = 1.5  # factor by which this interval grows with each unanswered probe
+MAX_BACKOFF_STEPS = 32  # keeps the power finite; the interval reaches its upper bound long before
 TIMEOUT_IN_ONE_WAY_DELAYS = 6.0  # lower bound of the probe timeout, in one-way network delays
 # Lower bound of the probe interval of an endpoint with requests in flight, in durations of a typical request.
 INTERVAL_IN_REQUEST_DURATIONS = 0.75
@@ -37,10 +38,12 @@
     """The unanswered probe of an endpoint whose timeout is running; an endpoint has at most one.
 
     ``sent_at``: when it was sent, in seconds.
+    ``check_at``: when it is checked whether it has timed out.
     ``unanswered_before``: the number of consecutive probes before it that timed out.
     """
 
     sent_at: float
+    check_at: float
     unanswered_before: int = 0
 
 
@@ -105,8 +108,9 @@
     def probe_sent(self, now: float, endpoint: Endpoint) -> None:
         """Record that a probe is sent to the endpoint. If one is outstanding already, its timeout keeps running."""
         if endpoint.outstanding_probe is None:
-            endpoint.outstanding_probe = OutstandingProbe(now)
-            self._schedule_check(now + self.probe_timeout_s, endpoint)
+            check_at = now + self.probe_timeout_s
+            endpoint.outstanding_probe = OutstandingProbe(now, check_at)
+            self._schedule_check(check_at, endpoint)
 
     def request_sent(self, now: float, endpoint: Endpoint) -> None:
         """Record that a request was sent to the endpoint."""
@@ -135,8 +139,9 @@
     def check(self, now: float, is_current: Callable[[Endpoint], bool]) -> tuple[list[Endpoint], list[Endpoint]]:
         """Return the endpoints to probe now, and those that are newly suspected.
 
-        An endpoint whose check is due is probed again if its outstanding probe has timed out; if the probe has not
-        timed out, nothing is done. Without an outstanding probe, an endpoint with requests in flight is probed if
+        An endpoint whose check is due is probed again if its outstanding probe has timed out. If the probe's own check
+        comes before its timeout, which may have grown since, the check is repeated then; other checks of the endpoint
+        are dropped. Without an outstanding probe, an endpoint with requests in flight is probed if
         nothing was received from it for about the probe interval, or else checked again later.
 
         ``is_current``: returns whether an endpoint still exists.
@@ -144,7 +149,7 @@
         to_probe: list[Endpoint] = []
         newly_suspected: list[Endpoint] = []
         while self._checks and self._checks[0][0] <= now:
-            endpoint = heappop(self._checks)[2]
+            check_at, _, endpoint = heappop(self._checks)
             if not is_current(endpoint):
                 continue
             probe = endpoint.outstanding_probe
@@ -154,6 +159,9 @@
                         newly_suspected.append(endpoint)
                     self._probe_again(now, endpoint, probe)
                     to_probe.append(endpoint)
+                elif check_at == probe.check_at:
+                    probe.check_at = probe.sent_at + self.probe_timeout_s
+                    self._schedule_check(probe.check_at, endpoint)
             elif endpoint.in_flight and now - endpoint.last_heard_at >= self.probe_interval_s * MIN_SILENT_FRACTION:
                 self.probe_sent(now, endpoint)
                 to_probe.append(endpoint)
@@ -177,6 +185,8 @@
     def _probe_again(self, now: float, endpoint: Endpoint, probe: OutstandingProbe) -> None:
         """Record that the next probe is sent after ``probe`` timed out, and schedule the one after it."""
         unanswered = probe.unanswered_before + 1
-        endpoint.outstanding_probe = OutstandingProbe(now, unanswered)
-        interval_s = min(MAX_PROBE_INTERVAL_S, self.probe_timeout_s * PROBE_BACKOFF**unanswered)
-        self._schedule_check(now + interval_s * self._random.uniform(*PROBE_JITTER), endpoint)
+        backoff = PROBE_BACKOFF ** min(unanswered, MAX_BACKOFF_STEPS)
+        interval_s = min(MAX_PROBE_INTERVAL_S, self.probe_timeout_s * backoff)
+        check_at = now + interval_s * self._random.uniform(*PROBE_JITTER)
+        endpoint.outstanding_probe = OutstandingProbe(now, check_at, unanswered)
+        self._schedule_check(check_at, endpoint)
