Bound the doubled times of ejections and of flapping servers, which overflowed

Callers saw: after 1,026 ejections in a row an endpoint's failures raised OverflowError and it was never tried again; a server that left and returned over 1,023 times, each within a minute, ended the client's update of its list. Cause: 2**ejections and 2.0**count without a bound (the latter found while looking for the former's siblings).

--- a/lapishaven/client/fleet/dial_schedule.py
+++ b/lapishaven/client/fleet/dial_schedule.py
@@ -16,6 +16,7 @@
 MIN_DIALS_PER_S = 1e-3
 MAX_DEPARTURES = 64  # with more than these remembered, old ones are removed
 FLAP_MEMORY_S = 60.0  # a departure is forgotten after this
+MAX_FLAP_DOUBLINGS = 32  # keeps the power finite; the required time reaches its upper bound before
 DEPLOY_END_S = 30.0  # a deploy is over after this time without a batch
 INTERVAL_END_FACTOR = 4  # the interval is forgotten after this many intervals without a batch
 SPREAD_SHARE = 1.0  # of the interval between batches, over which dials are spread
@@ -109,7 +110,7 @@
     def is_flapping(self, now: float, name: str) -> bool:
         """Whether it left repeatedly and too recently: the required time since then doubles with each departure."""
         count, last_at = self._departures.get(name, (0, now))
-        return count > 1 and now - last_at < min(2.0**count, FLAP_MEMORY_S)
+        return count > 1 and now - last_at < min(2.0 ** min(count, MAX_FLAP_DOUBLINGS), FLAP_MEMORY_S)
 
     def record_return(self, name: str) -> None:
         """Record that the list shows the endpoint as healthy again."""
--- a/lapishaven/load_balancing/outlier_ejection.py
+++ b/lapishaven/load_balancing/outlier_ejection.py
@@ -9,6 +9,7 @@
 
 # Random factor of an ejection's duration, so that balancers do not all return to the endpoint at the same time.
 MIN_JITTER, MAX_JITTER = 0.8, 1.2
+MAX_DOUBLINGS = 32  # keeps the power finite; the duration reaches its upper bound before
 
 
 class OutlierEjection:
@@ -40,7 +41,8 @@
         should_eject = endpoint.on_trial or endpoint.consecutive_failures >= self._rules.ejection_failures
         if not should_eject or not self._may_eject(endpoint, endpoint_count):
             return False
-        duration_s = min(self._rules.max_ejection_s, self._rules.base_ejection_s * 2**endpoint.ejections)
+        doublings = min(endpoint.ejections, MAX_DOUBLINGS)
+        duration_s = min(self._rules.max_ejection_s, self._rules.base_ejection_s * 2**doublings)
         endpoint.ejected_until = now + duration_s * self._random.uniform(MIN_JITTER, MAX_JITTER)
         endpoint.ejections += 1
         endpoint.on_trial = True
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -132,3 +132,12 @@
     assert interval.is_flapping(6.0 + 15.9, "a") and not interval.is_flapping(6.0 + 16.1, "a")
     interval.record_departure(200.0, "a")
     assert not interval.is_flapping(200.5, "a")  # stable in between
+
+
+# Guards the doubled time against overflow: a server that crashed in a loop for a day ended the client's list updates.
+def test_a_server_that_flaps_for_a_day_is_flapping() -> None:
+    interval = DeployInterval(8.0, 2.0, 10.0)
+    for n in range(3000):
+        interval.record_departure(29.0 * n, "a")
+        interval.record_return("a")
+        assert interval.is_flapping(29.0 * n + 0.5, "a") == (n > 0)
