Turn down settings that no server can use before a reload begins, and at the start in one line

Callers saw: after SIGHUP with cores 0, a negative credit, no classes or an infinity, no run started any more though the reload was counted as accepted; at a start a traceback, or a server that never serves. Cause: check_settings ran inside the admission module, after the reload had begun; numbers were not checked to be finite, and ports by isdigit, which takes a superscript two. Mend: checked while the file is read, so a bad file changes nothing.

--- a/lapishaven/client/settings.py
+++ b/lapishaven/client/settings.py
@@ -234,7 +234,7 @@
 def split_address(address: str, setting: str) -> tuple[str, int]:
     """Split HOST:PORT into host and port; ``setting`` is the setting that an error names."""
     host, _, port = address.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) <= 65535:
+    if not host or not port.isdecimal() or not 0 < int(port) <= 65535:
         raise SettingsError(f"{setting}: {address[:100]!r} is not HOST:PORT with a port from 1 to 65535")
     return host, int(port)
 
--- a/lapishaven/config/node.py
+++ b/lapishaven/config/node.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from lapishaven.admission import RequestClass, Settings
+from lapishaven.admission.settings import check_settings
 from lapishaven.config.values import Address, ConfigError, parse_address, positive_number, read_text
 from lapishaven.proto.admission_settings import SettingsError, parse_settings
 
@@ -83,7 +84,7 @@
 def _parse_object(text: str) -> dict[str, Any]:
     try:
         table = json.loads(text)
-    except ValueError:
+    except (ValueError, RecursionError):
         raise ConfigError(f"the configuration is not JSON: {text[:60]!r}") from None
     if not isinstance(table, dict):
         raise ConfigError(f"the configuration must be a JSON object, found {table!r:.60}")
@@ -112,6 +113,10 @@
     except SettingsError as error:
         raise ConfigError(f"settings: {error}") from None
     _check_classes(settings.classes)
+    try:
+        check_settings(settings)
+    except ValueError as error:
+        raise ConfigError(f"settings: {error}") from None
     return settings, gauges
 
 
@@ -138,7 +143,7 @@
 def _parse_inherited_fd(value: str | None) -> int | None:
     if not value:
         return None
-    if not value.isdigit() or int(value) < FIRST_FREE_DESCRIPTOR:
+    if not value.isdecimal() or int(value) < FIRST_FREE_DESCRIPTOR:
         raise ConfigError(
             f"NODE_INHERITED_FD must be a descriptor of {FIRST_FREE_DESCRIPTOR} or more, found {value!r:.20}"
         )
--- a/lapishaven/load_balancing/settings.py
+++ b/lapishaven/load_balancing/settings.py
@@ -83,7 +83,7 @@
 def parse_address(text: str) -> tuple[str, int] | None:
     """Split ``HOST:PORT`` into host and port; return ``None`` if it is malformed."""
     host, _, port = text.rpartition(":")
-    return (host, int(port)) if host and port.isdigit() and 0 < int(port) <= MAX_PORT else None
+    return (host, int(port)) if host and port.isdecimal() and 0 < int(port) <= MAX_PORT else None
 
 
 def load_settings(path: str) -> BalancingSettings:
--- a/lapishaven/ownership/settings.py
+++ b/lapishaven/ownership/settings.py
@@ -161,7 +161,7 @@
     if "file" in table:
         return _file(path, "coordinator", table)
     host, _, port = str(table["address"]).rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
         raise OwnershipError(
             f"{path}: coordinator.address is {table['address']!r:.80}, not HOST:PORT with a port from 1 to 65535"
         )
--- a/lapishaven/proto/admission_settings.py
+++ b/lapishaven/proto/admission_settings.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import json
+import sys
 from typing import Any, NamedTuple
 
 from lapishaven.admission import Idempotency, RequestClass, Settings, Tenant
 
+MAX_NUMBER = sys.float_info.max  # JSON also allows infinities, and whole numbers that no float can hold
 IDEMPOTENCY_TYPES = {
     "free": Idempotency.IDEMPOTENT,
     "guarded": Idempotency.WITH_KEY,
@@ -69,7 +71,7 @@
         value = self.data.get(key)
         if value is None:
             return None
-        if isinstance(value, bool) or not isinstance(value, int | float):
+        if isinstance(value, bool) or not isinstance(value, int | float) or not abs(value) <= MAX_NUMBER:
             raise SettingsError(self._path_of(key), f"must be a number, found {value!r:.60}")
         return float(value)
 
