Ignore a Retry-After or port that is no decimal number, as int() does not take it

By reading: '\u00b2'.isdigit() is true and int() raises, which ended the handling of a run's end (a backend's Retry-After, X-Pushback-Ms) and of a catalog's list. isdecimal() takes what int() takes. No test of its own: the settings' tests cover the same expression.

--- a/lapishaven/backends/run_dispatcher.py
+++ b/lapishaven/backends/run_dispatcher.py
@@ -233,9 +233,9 @@
         return 0.0
     milliseconds = response.headers.get("x-pushback-ms", "")
     seconds = response.headers.get("retry-after", "")
-    if milliseconds.isdigit():
+    if milliseconds.isdecimal():
         return min(MAX_RETRY_AFTER_S, int(milliseconds[:6]) / 1000)
-    return min(MAX_RETRY_AFTER_S, float(seconds[:6])) if seconds.isdigit() else 0.0
+    return min(MAX_RETRY_AFTER_S, float(seconds[:6])) if seconds.isdecimal() else 0.0
 
 
 def _load_report(response: proto.Response) -> LoadReport | None:
--- a/lapishaven/proto/catalog.py
+++ b/lapishaven/proto/catalog.py
@@ -101,7 +101,7 @@
     for row in data:
         name, address = (row.get("name"), row.get("address")) if isinstance(row, dict) else (None, None)
         host, _, port = address.rpartition(":") if isinstance(address, str) else ("", "", "")
-        if not isinstance(name, str) or not name or not host or not port.isdigit() or int(port) > 65535:
+        if not isinstance(name, str) or not name or not host or not port.isdecimal() or int(port) > 65535:
             raise ProtocolError(f"{key}[{len(found)}] of the server list has no name, or its address is not HOST:PORT")
         if name in found:
             raise ProtocolError(f"{key} of the server list contains {name[:40]!r} twice")
