--- a/lapishaven/lab/soak/trial.py
+++ b/lapishaven/lab/soak/trial.py
@@ -22,6 +22,7 @@
 from lapishaven.lab.handover.caller import Caller, Load, arrivals
 from lapishaven.lab.handover.platform import Platform, PlatformError, Process, kill_after
 from lapishaven.lab.interpreter import Box, Interpreter
+from lapishaven.lab.ports import Ports
 from lapishaven.lab.soak.plan import CROWD_S, KEYED_CLASS, LOAD_S, SoakPlan, Step, StepKind
 from lapishaven.lab.soak.rules import Lag, Observations, Outage, ProcessUse, Violation, count_crossings, find_violations
 
@@ -103,8 +104,9 @@
         self._random = Random(f"soak trial/{self.plan.seed}")
         self._began_at = self._loop.time()
         self._background: list[asyncio.Task[Any]] = []
+        self._ports = Ports()  # held while the catalog is away
         self.catalog = Catalog(lag=0.5)
-        await self.catalog.open(HOST)
+        await self.catalog.open(*self._ports.take(HOST))
         probes = [self._loop.create_task(self._probe_lag()), self._loop.create_task(self._probe_use())]
         with tempfile.TemporaryDirectory(prefix="lapishaven-soak-") as folder:
             try:
@@ -119,6 +121,7 @@
                 for server in self.servers:
                     await server.interpreter.close()
                 await self.catalog.close()
+                self._ports.close()
         return self._judge()
 
     async def _run_processes(self) -> None:
@@ -326,13 +329,17 @@
             await self._replace(lambda: self._signal_series(step, server, self._kill_after(server), False))
 
     async def _signal_series(self, step: Step, server: Server, kill_s: float, in_background: bool) -> None:
-        """SIGTERM with another signal just before or after it. A reload may bring the kill forward."""
-        stop_s = min(self.plan.stop_ms, self.plan.reloaded_stop_ms) / 1000
-        with_reload = step.kind in (StepKind.RELOAD_THEN_TERMINATE, StepKind.TERMINATE_THEN_RELOAD)
+        """SIGTERM with another signal just before or after it.
+
+        After a reload before it, the new ``stop_ms`` counts; a reload after it may bring the kill forward.
+        """
         if step.kind is StepKind.RELOAD_THEN_TERMINATE:
             self._reload(server, not server.reloaded)
             await asyncio.sleep(step.duration_s)
-        termination = self._loop.create_task(self._terminate(server, min(kill_s, stop_s) if with_reload else kill_s))
+            kill_s = min(kill_s, self._kill_after(server)) if self.plan.inherited else self._kill_after(server)
+        elif step.kind is StepKind.TERMINATE_THEN_RELOAD:
+            kill_s = min(kill_s, self.plan.stop_ms / 1000, self.plan.reloaded_stop_ms / 1000)
+        termination = self._loop.create_task(self._terminate(server, kill_s))
         await asyncio.sleep(step.duration_s)
         if step.kind is StepKind.TERMINATE_THEN_RELOAD:
             self._reload(server, not server.reloaded)
