--- a/review/lib/caller.py
+++ b/review/lib/caller.py
@@ -27,10 +27,10 @@
 
 
 class Connection:
-    """One connection of the caller with the number ``src``; it sends nothing new after a ``draining`` notice."""
+    """One connection of the caller with the number ``src``; it is not usable once it is draining or closed."""
 
     def __init__(self, record: Record, src: int) -> None:
-        self.draining = False
+        self.usable = True
         self._record = record
         self._src = src
         self._last_id = 0
@@ -47,7 +47,7 @@
         self, class_name: str, body: bytes, *, key: str | None = None, again: bool = False
     ) -> asyncio.Future[Answer]:
         """Send one try; the future gets its answer. ``key`` names the effect; ``again`` marks a further try."""
-        assert self._writer is not None and not self.draining
+        assert self._writer is not None and self.usable
         self._last_id += 1
         call = f"{random.getrandbits(64):016x}"
         params: dict[str, Any] = {
@@ -77,12 +77,15 @@
                 self._receive(json.loads(line))
         except (ConnectionError, ValueError):
             pass
+        self.usable = False
+        if self._writer is not None:
+            self._writer.close()
         for request_id in list(self._open):
             self._settle(request_id, Answer("none", text="the connection ended"))
 
     def _receive(self, message: dict[str, Any]) -> None:
         if message.get("method") == "draining":
-            self.draining = True
+            self.usable = False
             self._record.add(f"told  caller={self._src} draining")
         elif message.get("id") in self._open:
             if "result" in message:
@@ -99,9 +102,44 @@
         if not future.done():
             future.set_result(answer)
 
+    @property
+    def open_requests(self) -> int:
+        """The number of requests without an answer."""
+        return len(self._open)
+
     def close(self) -> None:
         """Close the connection."""
         if self._writer is not None:
             self._writer.close()
         if self._task is not None:
             self._task.cancel()
+
+
+class Caller:
+    """A caller with as many connections as it needs, and at most ``MOST_OPEN`` requests on each."""
+
+    MOST_OPEN = 8
+
+    def __init__(self, record: Record, src: int, address: Address) -> None:
+        self._record = record
+        self._src = src
+        self._address = address
+        self._connections: list[Connection] = []
+
+    async def send(self, class_name: str, body: bytes, *, key: str | None = None, again: bool = False) -> Answer:
+        """Send one try and wait for its answer."""
+        return await (await self._connection()).send(class_name, body, key=key, again=again)
+
+    async def _connection(self) -> Connection:
+        usable = [each for each in self._connections if each.usable and each.open_requests < self.MOST_OPEN]
+        if usable:
+            return min(usable, key=lambda each: each.open_requests)
+        connection = Connection(self._record, self._src)
+        await connection.connect(self._address)
+        self._connections.append(connection)
+        return connection
+
+    def close(self) -> None:
+        """Close every connection."""
+        for connection in self._connections:
+            connection.close()
--- a/review/lib/interpreter.py
+++ b/review/lib/interpreter.py
@@ -24,7 +24,7 @@
     class_name: str
     body: bytes
     began_at: float
-    left_s: float
+    left_s: float  # of work, at the usual speed of a core
     resumed_at: float
     timer: asyncio.TimerHandle | None = None
 
@@ -42,6 +42,7 @@
         self.started: list[tuple[float, str, bytes]] = []
         self.on_started: Callable[[str, bytes], None] = lambda class_name, body: None
         self.ended: dict[str, str] = {}
+        self.slowness = 1.0
         self.address: Address = ("", 0)
         self._record = record
         self._runs: dict[str, Run] = {}
@@ -66,6 +67,16 @@
         if self._link is not None:
             self._link.transport.abort()
 
+    def slow(self, slowness: float) -> None:
+        """Run everything ``slowness`` times slower than usual from now on."""
+        active = [(attempt, run) for attempt, run in self._runs.items() if run.timer is not None]
+        for _, run in active:
+            self._halt(run)
+        self.slowness = slowness
+        self._record.add(f"slow  interpreter={self.name} {slowness:g} times")
+        for attempt, run in active:
+            self._schedule(attempt, run)
+
     # ---- Commands
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
@@ -127,7 +138,13 @@
 
     def _schedule(self, attempt: str, run: Run) -> None:
         run.resumed_at = time.monotonic()
-        run.timer = asyncio.get_running_loop().call_later(run.left_s, self._done, attempt)
+        run.timer = asyncio.get_running_loop().call_later(run.left_s * self.slowness, self._done, attempt)
+
+    def _halt(self, run: Run) -> None:
+        assert run.timer is not None
+        run.timer.cancel()
+        run.timer = None
+        run.left_s -= (time.monotonic() - run.resumed_at) / self.slowness
 
     def _done(self, attempt: str) -> None:
         run = self._runs.pop(attempt)
@@ -141,9 +158,7 @@
         run = self._runs.get(attempt)
         if run is None or run.timer is None:
             return
-        run.timer.cancel()
-        run.timer = None
-        run.left_s -= time.monotonic() - run.resumed_at
+        self._halt(run)
         self._record.add(f"break interpreter={self.name} call={attempt}")
         self._notice(attempt, "STOPPED", time.monotonic() - run.began_at, b"")
 
