--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,10 +1,10 @@
 """Case 2: a commit that runs is turned away, as its team is over its budget, and so it is run by a second server too.
 
 Two match servers, each with a uwsgi front, the contracts of the team and an interpreter of its own. A client sends a
-commit through gateway 1 to server a, which starts it. The client waits for ``PATIENCE_S`` and tries again, once, through
-gateway 2, also at server a. Where that says 503 (refused, never ran), gateway 2 goes on to server b. The disruption:
-the team sends more than its budget meanwhile, and retries without limit. Without it the second try gets the first
-result.
+commit through gateway 1 to server a, which starts it. The client waits for ``PATIENCE_S`` and tries again, once,
+through gateway 2, also at server a. Where that says 503 (refused, never ran), gateway 2 goes on to server b. The
+disruption: the team sends more than its budget meanwhile, and retries without limit. Without it the second try gets the
+first result.
 """
 
 from __future__ import annotations
