Share what runs among the processes on one inherited socket, so that no effect runs twice

Change: lapishaven/effect_log, a log in $TMPDIR named after the socket's inode. A run of a class that may not simply run again starts only once its claim is the first of its effect in that log (O_APPEND gives one order and no lock is held). A repeat elsewhere waits like any duplicate, gets the result, or fails at once when the owner is dead (flock), or by its due time when it is stopped. What another process has claimed is never answered "refused", and a run that a repeat waits for elsewhere is not stopped.

--- a/lapishaven/core/active_settings.py
+++ b/lapishaven/core/active_settings.py
@@ -18,6 +18,11 @@
         """The request class of a submission."""
         return self.current.classes[submission.class_index]
 
+    def index_of(self, class_name: str) -> int | None:
+        """The index of the class with this name; ``None`` if there is none."""
+        names = (request_class.name for request_class in self.current.classes)
+        return next((index for index, name in enumerate(names) if name == class_name), None)
+
     def is_deduplicated(self, submission: Submission) -> bool:
         """Whether its duplicates are detected by key: it has a key, and its class is not idempotent."""
         if submission.idempotency_key is None:
--- a/lapishaven/core/broker.py
+++ b/lapishaven/core/broker.py
@@ -22,6 +22,7 @@
 from lapishaven.core.execution_guard import ExecutionGuard
 from lapishaven.core.idempotency_keys import IdempotencyKeyTable
 from lapishaven.core.load_sampling import LoadSampling
+from lapishaven.core.peer_effects import EffectName, PeerEffects
 from lapishaven.core.ports import (
     AttemptRecorder,
     Backend,
@@ -68,6 +69,7 @@
         memory: int = DEFAULT_MEMORY_BYTES,
         pools: AdmissionPools | None = None,
         result_store: ResultStore | None = None,
+        peers: PeerEffects | None = None,
     ) -> None:
         """Build the core.
 
@@ -83,10 +85,11 @@
             memory: the process's memory in bytes; fixed fractions of it limit the execution guard and stored results.
             pools: capacity by class; ``None``: all classes share it.
             result_store: keeps results across restarts; ``None``: they are not kept.
+            peers: what other processes of this server run; ``None``: there are no others.
         """
         self.counters = counters
         self.controller = Controller(settings, seed, pools)
-        self.guard = ExecutionGuard(memory)
+        self.guard = ExecutionGuard(memory, peers)
         self._has_turned = False  # the first batch is passed even if empty, so that the controller sets its timers
         state = CoreState(
             settings=ActiveSettings(settings),
@@ -102,6 +105,9 @@
         self._table = state.table
         self._drain_state = state.drain_state
         self._events = state.events
+        self._peers = peers
+        if peers is not None:
+            peers.set_own_claims(self._is_claimed)
         self._load_sampling = LoadSampling(backend, counters, state.events)
         self._lifecycle = RequestLifecycle(state)
         durable = DurableExecution(result_store, state, self._lifecycle) if result_store is not None else None
@@ -132,6 +138,8 @@
     # ---- Called by frontends
     def submit(self, now: float, submission: Submission, reply: Reply) -> Request | None:
         """Add a request to the table; ``None`` if it was answered at once."""
+        if self._peers is not None:
+            self._peers.advance(now)
         return self._intake.submit(now, submission, reply)
 
     def cancel(self, request: Request) -> None:
@@ -197,9 +205,19 @@
             self._lifecycle.answer(request, answer)
             self._lifecycle.close_unless_running(request)
 
+    def _is_claimed(self, name: EffectName) -> bool:
+        """Whether this process has started the effect."""
+        class_name, key = name
+        class_index = self._settings.index_of(class_name)
+        return class_index is not None and self.guard.effects.is_claimed((class_index, key))
+
     # ---- Processing
     def turn(self, now: float) -> None:
         """Pass the queued events to the controller, carry out its actions, and answer overdue requests."""
+        if self._peers is not None:
+            self._peers.advance(now)
+            self._peers.poll(self._table.requests.__contains__)
+            self._lifecycle.answer_from_peers()
         self._load_sampling.process_due(now)
         while self._events or not self._has_turned:
             self._has_turned = True
@@ -216,6 +234,8 @@
         if self._events or not self._has_turned:
             return 0.0
         due_at = min(self._load_sampling.next_due_at(), self._table.next_due_at())
+        if self._peers is not None:
+            due_at = min(due_at, self._peers.next_poll_at())
         return None if due_at == float("inf") else due_at
 
     def _answer_overdue(self, now: float) -> None:
--- a/lapishaven/core/execution_guard.py
+++ b/lapishaven/core/execution_guard.py
@@ -1,9 +1,13 @@
-"""Prevents a request from running twice, by its attempt id and by its idempotency key."""
+"""Prevents a request from running twice, by its attempt id and by its idempotency key.
+
+Where several processes of one server share a log, what they have run counts as well.
+"""
 
 from __future__ import annotations
 
 from lapishaven.admission import Idempotency, Settings
 from lapishaven.core.deduplication import ClaimRegistry
+from lapishaven.core.peer_effects import ClaimRefusal, PeerEffect, PeerEffects
 from lapishaven.core.requests import Answer, AnswerKind, Submission
 
 EFFECT_RETENTION_S = 900.0  # if no idempotency window applies; far longer than any caller retries
@@ -15,23 +19,29 @@
 MEMORY_BYTES_PER_NAME = 2048
 
 
+def max_names(memory_bytes: int) -> int:
+    """How many names a registry holds in a process with this memory."""
+    return memory_bytes // MEMORY_BYTES_PER_NAME
+
+
 class ExecutionGuard:
     """Remembers the started attempts and effects of classes that are not idempotent.
 
     An attempt is identified by its id, an effect by its class and idempotency key.
     """
 
-    def __init__(self, memory_bytes: int) -> None:
-        """``memory_bytes`` is the memory of the process."""
-        limit = memory_bytes // MEMORY_BYTES_PER_NAME
+    def __init__(self, memory_bytes: int, peers: PeerEffects | None = None) -> None:
+        """``memory_bytes`` is the memory of the process; ``peers`` is ``None`` if it shares nothing with others."""
+        self.peers = peers
+        limit = max_names(memory_bytes)
         self.attempts = ClaimRegistry(ATTEMPT_RETENTION_S, limit)
         self.effects = ClaimRegistry(EFFECT_RETENTION_S, limit)
 
-    def claim(self, now: float, submission: Submission, settings: Settings) -> Answer | None:
+    def claim(self, now: float, submission: Submission, settings: Settings) -> Answer | PeerEffect | None:
         """Record a run as started and return ``None``, or return the answer to send if it must not start.
 
         A run must not start if it was started before or cannot be recorded. Runs of idempotent classes may always
-        start and are not recorded.
+        start and are not recorded. If another process runs or has run the effect, that is returned.
         """
         if settings.classes[submission.class_index].idempotency is Idempotency.IDEMPOTENT:
             return None
@@ -43,15 +53,65 @@
         if self.attempts.is_full(now) or (has_key and self.effects.is_full(now)):
             return Answer(AnswerKind.REJECTED, reason="no room to remember its run", retry_after=FULL_RETRY_AFTER_S)
         self.attempts.claim(now, submission.attempt_id)
+        retention_s = self._effect_retention(settings, submission.class_index)
         if has_key:
-            self.effects.claim(now, effect, self._effect_retention(settings, submission.class_index))
-        return None
+            self.effects.claim(now, effect, retention_s)
+        if self.peers is None:
+            return None
+        class_name = settings.classes[submission.class_index].name
+        return self._claim_among_peers(self.peers, submission, class_name, retention_s)
+
+    def _claim_among_peers(
+        self, peers: PeerEffects, submission: Submission, class_name: str, retention_s: float
+    ) -> Answer | PeerEffect | None:
+        refusal = peers.claim(submission, class_name, self.attempts.retention, retention_s)
+        if refusal is None:
+            return None
+        self._forget(submission)
+        if isinstance(refusal, PeerEffect):
+            return refusal
+        if refusal is ClaimRefusal.KNOWN_ATTEMPT:
+            return Answer(AnswerKind.FAILED, reason="it ran before")
+        return Answer(AnswerKind.REJECTED, reason="its run could not be recorded", retry_after=FULL_RETRY_AFTER_S)
 
     def release(self, submission: Submission) -> None:
         """Remove the record of a run that provably had no effect."""
+        self._forget(submission)
+        if self.peers is not None:
+            self.peers.withdraw(submission.attempt_id)
+
+    def _forget(self, submission: Submission) -> None:
         self.attempts.release(submission.attempt_id)
         self.effects.release((submission.class_index, submission.idempotency_key))
 
+    def run_ended(self, submission: Submission, result: bytes | None) -> None:
+        """Let other processes know the end of a run and its result, if it had one."""
+        if self.peers is not None:
+            self.peers.run_ended(submission.attempt_id, result)
+
+    def find_peer_effect(self, submission: Submission, settings: Settings) -> PeerEffect | None:
+        """The submission's effect if another process has claimed it; ``None`` also for idempotent classes."""
+        request_class = settings.classes[submission.class_index]
+        key = submission.idempotency_key
+        if self.peers is None or key is None or request_class.idempotency is Idempotency.IDEMPOTENT:
+            return None
+        self.peers.refresh()
+        return self.peers.find((request_class.name, key))
+
+    def is_known_attempt(self, submission: Submission, settings: Settings) -> bool:
+        """Whether the attempt was started, here or, unless its class is idempotent, in another process."""
+        if self.attempts.is_claimed(submission.attempt_id):
+            return True
+        idempotency = settings.classes[submission.class_index].idempotency
+        if self.peers is None or idempotency is Idempotency.IDEMPOTENT:
+            return False
+        self.peers.refresh()
+        return self.peers.is_known_attempt(submission.attempt_id)
+
+    def is_awaited_elsewhere(self, submission: Submission) -> bool:
+        """Whether a duplicate of the submission's run waits in another process."""
+        return self.peers is not None and self.peers.is_awaited(submission.attempt_id)
+
     def remember(self, started_at: float, class_index: int, key: str) -> None:
         """Record an effect that an earlier process started."""
         self.effects.claim(started_at, (class_index, key))
--- a/lapishaven/core/ports.py
+++ b/lapishaven/core/ports.py
@@ -6,12 +6,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from enum import Enum
 from typing import Protocol
 
 from lapishaven.admission import Outcome
 from lapishaven.core.contracts import Contract
+from lapishaven.core.effect_records import ClaimRecord, EffectEnded
 from lapishaven.core.requests import Answer, AnswerKind, Submission
 
 
@@ -143,6 +144,45 @@
         """Finish the writes in progress and release the store. May block briefly; called when the process exits."""
 
 
+class EffectLog(Protocol):
+    """The log in which the processes on one inherited socket tell each other what they run.
+
+    No method raises or waits for another process. Records of claims have one order, which all processes see.
+    """
+
+    owner: str  # id of this process in its records
+
+    def unix_time(self) -> float:
+        """The clock of the records, in Unix seconds."""
+
+    def append_claim(self, record: ClaimRecord) -> bool:
+        """Append a record whose order decides; returns whether it is in the log.
+
+        ``take_claims`` then returns all records of others that precede it.
+        """
+
+    def append_end(self, record: EffectEnded) -> bool:
+        """Append the end of a run; returns whether it is in the log."""
+
+    def take_claims(self) -> list[ClaimRecord]:
+        """The records of others that an append has come upon, in order; each is returned once."""
+
+    def read_claims(self) -> Iterable[ClaimRecord]:
+        """The records of others up to the end of the log, in order; each is returned once.
+
+        They are read as they are taken, so all are to be taken before anything is appended.
+        """
+
+    def read_ends(self) -> list[EffectEnded]:
+        """The ends of others' runs that were not returned yet."""
+
+    def is_alive(self, owner: str) -> bool:
+        """Whether the process with this id lives; a stopped one does."""
+
+    def close(self) -> None:
+        """Release the log; called when the process exits."""
+
+
 class FleetMember(Protocol):
     """This process as a member of the fleet, which shares duties among its members."""
 
--- a/lapishaven/core/request_lifecycle.py
+++ b/lapishaven/core/request_lifecycle.py
@@ -5,6 +5,7 @@
 from lapishaven.admission import Outcome, RunFinished
 from lapishaven.core import outcome_metrics
 from lapishaven.core.core_state import CoreState
+from lapishaven.core.peer_effects import PeerEffect, PeerRunState
 from lapishaven.core.ports import Reply
 from lapishaven.core.requests import STATES_WITHOUT_RUN, Answer, AnswerKind, Request, RequestState, Submission
 
@@ -18,6 +19,7 @@
         self._settings = state.settings
         self._table = state.table
         self._keys = state.keys
+        self._guard = state.guard
         self._recorder = state.recorder
         self._counters = state.counters
         self._events = state.events
@@ -33,13 +35,21 @@
             self.send(request.submission, reply, answer)
 
     def send(self, submission: Submission, reply: Reply, answer: Answer) -> None:
-        """Count, record and send an answer; called directly for submissions that are not added to the table."""
+        """Count, record and send an answer; called directly for submissions that are not added to the table.
+
+        What another process of this server runs or has run is failed where it would be rejected.
+        """
+        if answer.kind is AnswerKind.REJECTED and self._is_known_elsewhere(submission):
+            answer = Answer(AnswerKind.FAILED, reason="another process of this server runs it, or did")
         self._counters.add("answers", answer.kind.value)
         request_class = self._settings.current.classes[submission.class_index]
         self._counters.add(outcome_metrics.COUNTER_GROUPS[answer.kind], request_class.name)
         self._recorder.answered(submission, answer.kind)
         reply(answer)
 
+    def _is_known_elsewhere(self, submission: Submission) -> bool:
+        return self._guard.find_peer_effect(submission, self._settings.current) is not None
+
     def close(self, request: Request, result: bytes | None = None) -> None:
         """Remove a request from the table; nothing else does. ``result`` is the result of a completed run.
 
@@ -51,6 +61,7 @@
         request.state = RequestState.CLOSED
         self._table.remove(request)
         submission = request.submission
+        self._guard.run_ended(submission, result)
         if submission.idempotency_key is not None:
             key = (submission.class_index, submission.idempotency_key)
             if request.ran:
@@ -84,6 +95,9 @@
         key = request.submission.idempotency_key
         assert request.duplicate_of is not None and key is not None
         request.state = RequestState.ATTACHED
+        if request.awaited_effect is not None:
+            self._attach_to_peer(request, request.awaited_effect)
+            return
         original = self._table.requests.get(request.duplicate_of)
         entry = self._keys.find((request.submission.class_index, key), now)
         if original is not None and original.state is not RequestState.CLOSED:
@@ -92,10 +106,40 @@
         is_entry_of_original = entry is not None and entry.request_id == request.duplicate_of
         self._answer_duplicate(request, entry.result if entry is not None and is_entry_of_original else None)
 
+    # ---- Duplicates of what another process runs
+    def await_peer(self, request: Request, effect: PeerEffect) -> None:
+        """Let a request that the controller started wait for the run of its effect in another process."""
+        if effect.body_digest != request.submission.body_digest:
+            self._counters.add("requests", "key of another request")
+            self.end_without_run(request, Answer(AnswerKind.FAILED, reason="this key stands for another request"))
+            return
+        # The controller is done with it, so it takes no place of a run.
+        self._events.append(RunFinished(request.request_id, 0.0, Outcome.OBSOLETE))
+        request.state = RequestState.ATTACHED
+        self._attach_to_peer(request, effect)
+
+    def _attach_to_peer(self, request: Request, effect: PeerEffect) -> None:
+        if effect.state is PeerRunState.RUNNING and self._guard.peers is not None:
+            self._guard.peers.wait_for(effect, request.request_id)
+        else:
+            self._answer_from_peer(request, effect)
+
+    def answer_from_peers(self) -> None:
+        """Answer the requests that waited for runs in other processes that have ended."""
+        for effect in self._guard.peers.take_settled() if self._guard.peers is not None else ():
+            for request_id in effect.waiting:
+                request = self._table.requests.get(request_id)
+                if request is not None:
+                    self._answer_from_peer(request, effect)
+
+    def _answer_from_peer(self, request: Request, effect: PeerEffect) -> None:
+        self._answer_duplicate(request, effect.result, effect.state is not PeerRunState.WITHDRAWN)
+
     def _answer_duplicate(self, request: Request, result: bytes | None, original_ran: bool = True) -> None:
         """Answer a duplicate according to its original; it is rejected only if the original provably never ran."""
         if request.state is not RequestState.ATTACHED:
             return
+        request.ran = original_ran  # which counts for the duplicates of a request that waits for another process
         outcome = Outcome.ERROR if result is None else Outcome.OK
         self._events.append(RunFinished(request.request_id, 0.0, outcome))
         if not original_ran:
@@ -109,4 +153,4 @@
         else:
             answer = Answer(AnswerKind.SERVED, result)
         self.answer(request, answer)
-        self.close(request)
+        self.close(request, result)
--- a/lapishaven/core/requests.py
+++ b/lapishaven/core/requests.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from lapishaven.core.peer_effects import PeerEffect
     from lapishaven.core.ports import Backend, Reply
 
 
@@ -82,4 +83,5 @@
     state: RequestState = RequestState.QUEUED
     ran: bool = False  # whether a run was started that has not been proven to have had no effect
     duplicate_of: int | None = None  # request id of the original; None if it is not a duplicate
+    awaited_effect: PeerEffect | None = None  # the original if another process has claimed it
     duplicate_ids: list[int] = field(default_factory=list)  # request ids of the duplicates that wait for its result
--- a/lapishaven/core/run_control.py
+++ b/lapishaven/core/run_control.py
@@ -6,6 +6,7 @@
 from lapishaven.core import outcome_metrics
 from lapishaven.core.core_state import CoreState
 from lapishaven.core.durable_execution import DurableExecution
+from lapishaven.core.peer_effects import PeerEffect
 from lapishaven.core.request_lifecycle import NEVER_RAN_RETRY_AFTER_S, RequestLifecycle
 from lapishaven.core.requests import Answer, AnswerKind, Request, RequestState
 
@@ -37,7 +38,9 @@
         if request.state is not RequestState.QUEUED:
             return
         refusal = self._claim(now, request)
-        if refusal is not None:
+        if isinstance(refusal, PeerEffect):
+            self._lifecycle.await_peer(request, refusal)
+        elif refusal is not None:
             self._counters.add("requests", "start barred")
             self._lifecycle.end_without_run(request, refusal)
         elif self._durable is not None and self._durable.covers(request.submission):
@@ -47,15 +50,24 @@
 
     def cancel(self, request: Request) -> None:
         """Pause a run whose request was cancelled, unless the caller of a duplicate still waits for its result."""
-        if request.state is RequestState.RUNNING and not self._lifecycle.has_waiting_duplicate(request):
+        if request.state is RequestState.RUNNING and not self._is_awaited(request):
             request.backend.pause(request.submission.attempt_id)
 
-    def _claim(self, now: float, request: Request) -> Answer | None:
-        """Claim the run; return the answer to send if the request must not run, else ``None``."""
+    def _is_awaited(self, request: Request) -> bool:
+        """Whether the caller of a duplicate waits for the run's result, here or in another process."""
+        if self._lifecycle.has_waiting_duplicate(request):
+            return True
+        return self._guard.is_awaited_elsewhere(request.submission)
+
+    def _claim(self, now: float, request: Request) -> Answer | PeerEffect | None:
+        """Claim the run; return the answer to send if the request must not run, else ``None``.
+
+        If another process runs or has run the effect, that is returned.
+        """
         if self._drain_state.arrived_after_grace(request.arrived_at, self._settings.current.drain_grace):
             return Answer(AnswerKind.REJECTED, reason="it came after the leave")
         refusal = self._guard.claim(now, request.submission, self._settings.current)
-        if refusal is not None and refusal.kind is AnswerKind.REJECTED:
+        if isinstance(refusal, Answer) and refusal.kind is AnswerKind.REJECTED:
             self._counters.add("requests", "guard full")
         return refusal
 
@@ -95,11 +107,7 @@
 
     def _is_wanted_again(self, request: Request) -> bool:
         """Whether a duplicate arrived while the run was being paused because no caller waited for it."""
-        return (
-            request.reply is None
-            and self._settings.current.cancellation == "pause"
-            and self._lifecycle.has_waiting_duplicate(request)
-        )
+        return request.reply is None and self._settings.current.cancellation == "pause" and self._is_awaited(request)
 
     def _finish_served(self, request: Request, result: bytes) -> None:
         if self._durable is not None and self._durable.covers(request.submission):
--- a/lapishaven/core/submission_intake.py
+++ b/lapishaven/core/submission_intake.py
@@ -61,7 +61,9 @@
             return None
         key = self._deduplication_key(submission)
         original = self._keys.find(key, now) if key is not None else None
-        if original is not None and original.body_digest != submission.body_digest:
+        peer_effect = self._guard.find_peer_effect(submission, self._settings.current) if original is None else None
+        holder = original or peer_effect
+        if holder is not None and holder.body_digest != submission.body_digest:
             # The same key with another body is not a duplicate: it must not get the result of another caller's request.
             self._counters.add("requests", "key of another request")
             answer = Answer(AnswerKind.FAILED, reason="this key stands for another request")
@@ -79,6 +81,9 @@
         request = self._add_request(now, submission, reply, contract)
         if original is not None:
             request.duplicate_of = original.request_id
+        elif peer_effect is not None:
+            request.duplicate_of = self._table.new_id()  # of no request here
+            request.awaited_effect = peer_effect
         elif key is not None:
             self._keys.open(key, request.request_id, submission.body_digest)
         self._queue_arrival(now, request, self._has_own_deadline(submission, contract))
@@ -90,7 +95,7 @@
         if self._drain_state.closed:
             return Answer(AnswerKind.REJECTED, reason="the server leaves", retry_after=NEVER_RAN_RETRY_AFTER_S)
         attempt_id = submission.attempt_id
-        if attempt_id in self._table.by_attempt or self._guard.attempts.is_claimed(attempt_id):
+        if attempt_id in self._table.by_attempt or self._guard.is_known_attempt(submission, self._settings.current):
             # The backend identifies runs by this id, so a second request with it could get the first one's result. The
             # attempt may have run, so it is failed and not rejected.
             return Answer(AnswerKind.FAILED, reason="this try is known already")
--- a/lapishaven/frontends/platform.py
+++ b/lapishaven/frontends/platform.py
@@ -10,7 +10,7 @@
 
 from lapishaven.connection_end import ConnectionEnd
 from lapishaven.core import Answer, AnswerKind, Submission
-from lapishaven.core.outcome_metrics import THROTTLED
+from lapishaven.core.outcome_metrics import FAULTED, THROTTLED
 from lapishaven.core.requests import Request
 from lapishaven.frontends import Host, age
 from lapishaven.net.connection import Connection
@@ -135,8 +135,7 @@
             return
         broker = self.host.broker
         if broker is None:
-            self.host.counters.add(THROTTLED, message.method)
-            self.conn.write(jsonrpc.encode_error(message.id, jsonrpc.REJECTED_CODE, "not up yet", NOT_UP_RETRY_AFTER_S))
+            self._answer_not_up(message)
             return
         self.open[message.id] = None
         # A second request with the same attempt id does not replace the entry of the first: the core fails the second.
@@ -146,6 +145,16 @@
         if request is not None:
             self.open[message.id] = request
 
+    def _answer_not_up(self, message: jsonrpc.RunRequest) -> None:
+        """Answer a request that comes before the backend is up; what another process ran is not rejected."""
+        key = message.idempotency_key
+        if key is not None and self.host.ran_elsewhere(message.method, key):
+            self.host.counters.add(FAULTED, message.method)
+            self.conn.write(jsonrpc.encode_error(message.id, jsonrpc.FAILED_CODE, "not up yet, and it may have run"))
+            return
+        self.host.counters.add(THROTTLED, message.method)
+        self.conn.write(jsonrpc.encode_error(message.id, jsonrpc.REJECTED_CODE, "not up yet", NOT_UP_RETRY_AFTER_S))
+
     def _submission(self, message: jsonrpc.RunRequest, class_index: int, request_age: float) -> Submission:
         body_digest = None
         if message.idempotency_key is not None:
--- a/lapishaven/lab/handover/platform.py
+++ b/lapishaven/lab/handover/platform.py
@@ -124,7 +124,12 @@
         path = self.folder / f"{name}.json"
         path.write_text(config)
         control = self.ports.take(self.host)
-        env = {**os.environ, "PYTHONPATH": str(ROOT), "NODE_CONTROL": "{}:{}".format(*control)}
+        env = {
+            **os.environ,
+            "PYTHONPATH": str(ROOT),
+            "NODE_CONTROL": "{}:{}".format(*control),
+            "TMPDIR": str(self.folder),  # shared by all processes, and not emptied
+        }
         env.pop("NODE_INHERITED_FD", None)
         inherited_fds: tuple[int, ...] = ()
         if self.listener is not None:
--- a/lapishaven/server/broker_host.py
+++ b/lapishaven/server/broker_host.py
@@ -11,6 +11,7 @@
 from lapishaven.core.broker import Broker
 from lapishaven.core.contracts import Contracts
 from lapishaven.core.execution_guard import EFFECT_RETENTION_S
+from lapishaven.core.peer_effects import PeerEffects
 from lapishaven.core.ports import AttemptRecorder, DecisionListener, DurableResultStore, FleetMember
 from lapishaven.counters import Counters
 from lapishaven.net.loop import Loop
@@ -39,11 +40,13 @@
         fleet: FleetMember | None,
         attempt_log: AttemptLog | None,
         result_store: DurableResultStore | None,
+        peers: PeerEffects | None,
     ) -> None:
         """``listener`` receives the controller's decisions that are not answers: health, idle timeout and remarks."""
         self.broker: Broker | None = None
         self.pools: Pools | None = None  # None if pools are not configured or the backend is not up yet
         self.result_store = result_store
+        self._peers = peers
         self._loop = loop
         self._running = running
         self._counters = counters
@@ -106,6 +109,7 @@
             memory=config.memory_mb * BYTES_PER_MB,
             pools=self._build_pools(settings),
             result_store=self.result_store,
+            peers=self._peers,
         )
 
     def _build_pools(self, settings: Settings) -> Pools | None:
--- a/lapishaven/server/server.py
+++ b/lapishaven/server/server.py
@@ -16,7 +16,9 @@
 from lapishaven.config import ConfigFiles, NodeConfig, UwsgiFrontendConfig
 from lapishaven.connection_end import ConnectionEnd
 from lapishaven.core.broker import Broker
-from lapishaven.core.ports import DurableResultStore, FleetMember
+from lapishaven.core.execution_guard import max_names
+from lapishaven.core.peer_effects import PeerEffects
+from lapishaven.core.ports import DurableResultStore, EffectLog, FleetMember
 from lapishaven.counters import Counters
 from lapishaven.frontends import Session, platform, uwsgi
 from lapishaven.net.connection import Dial, connect
@@ -37,6 +39,7 @@
 from lapishaven.server.status import ServerStatus
 
 UNSENT_MEMORY_DIVISOR = 8  # answers that callers have not read may take up 1/8 of the memory limit
+PEER_RESULT_MEMORY_DIVISOR = 32  # results of other processes' runs may take up 1/32 of the memory limit
 INHERITED_SOCKET_DELAY_S = 2.0  # after which a new process accepts on an inherited socket even without its backend
 
 
@@ -90,6 +93,7 @@
     # ---- Building
     def _build_core(self, files: ConfigFiles, options: ServerOptions) -> None:
         """Build the broker's host and the backends."""
+        self.effect_log, self.peers = self._open_effect_log(files.config)
         self.core = BrokerHost(
             loop=self.loop,
             running=self.running,
@@ -98,12 +102,27 @@
             fleet=self.fleet,
             attempt_log=self.attempt_log,
             result_store=options.result_store,
+            peers=self.peers,
         )
         if options.result_store is not None:
             result_store = options.result_store
             self.loop.watch(result_store.ready, 1, lambda mask: result_store.process_completions())
         self.backends = build_backends(files, self.loop, self.core, self.counters, options.dial)
 
+    def _open_effect_log(self, config: NodeConfig) -> tuple[EffectLog | None, PeerEffects | None]:
+        """Open what this process shares with the others on its inherited socket; without one there are no others."""
+        if config.inherited_fd is None:
+            return None, None
+        from lapishaven.effect_log import SharedEffectLog, folder_of
+
+        memory_bytes = config.memory_mb * BYTES_PER_MB
+        effect_log = SharedEffectLog(folder_of(config.inherited_fd), memory_bytes, self.log)
+        result_bytes = memory_bytes // PEER_RESULT_MEMORY_DIVISOR
+        peers = PeerEffects(effect_log, result_bytes, max_names(memory_bytes), self.counters)
+        peers.advance(self.loop.now)
+        peers.refresh()
+        return effect_log, peers
+
     def _build_frontends(self, files: ConfigFiles) -> None:
         """Build the callers' listeners: first the platform protocol's, then the uwsgi frontend's if it is enabled."""
         config = files.config
@@ -198,6 +217,14 @@
         """Whether the shutdown notice has been received."""
         return self.shutdown.requested
 
+    def ran_elsewhere(self, class_name: str, idempotency_key: str) -> bool:
+        """Whether another process of this server runs or has run an effect; asked while there is no broker."""
+        if self.peers is None:
+            return False
+        self.peers.advance(self.loop.now)
+        self.peers.refresh()
+        return self.peers.find((class_name, idempotency_key)) is not None
+
     def health_check(self, deep: bool, callback: Callable[[bool], None]) -> None:
         """Answer a health check through ``callback``; a deep one also checks the backend if the server is healthy."""
         if not self.listener.healthy or not deep:
@@ -276,4 +303,6 @@
         if self.fleet is not None:
             self.fleet.close()
         self.reporter.close()
+        if self.effect_log is not None:
+            self.effect_log.close()
         self.counter_report.log_counters()
