--- a/lapishaven/lab/handover/caller.py
+++ b/lapishaven/lab/handover/caller.py
@@ -4,7 +4,8 @@
 planned time whatever the server does. After a ``draining`` notice it sends nothing more on that connection, as the
 protocol requires, unless ``heed_draining`` is false, which stands for a misbehaving caller. When a connection cannot
 be made, is reset or is closed, the outcome is recorded for every request on it. A share of the requests of keyed
-classes is sent once more on the same connection, under the same key and body.
+classes is sent once more under the same key and body: on the same connection or, where the processes of one server
+share what they run, on any other.
 """
 
 from __future__ import annotations
@@ -35,6 +36,7 @@
     keyed_classes: frozenset[str] = frozenset()  # their requests bear an idempotency key
     repeat_share: float = 0.0  # of keyed requests that are sent once more
     max_repeat_delay_s: float = 1.5
+    repeats_anywhere: bool = False  # on any connection, which may lead to another process; else on the same one
 
 
 @dataclass(slots=True)
@@ -119,8 +121,11 @@
             self._repeats.add(loop.call_later(delay_s, self._repeat, connection, body, kind))
 
     def _repeat(self, connection: Connection, body: bytes, kind: site.RequestClass) -> None:
-        """Send a keyed request once more, if its connection, and so its server, is still there."""
-        if not connection.closed and not (connection.draining and self.load.heed_draining):
+        """Send a keyed request once more, if its connection, or any if it may take another, is still there."""
+        if self.load.repeats_anywhere:
+            usable = self._usable_connections()
+            connection = self.random.choice(usable) if usable else connection
+        if self._is_usable(connection):
             self._write(connection, body, kind, name=body + b" again")
 
     def _write(self, connection: Connection, body: bytes, kind: site.RequestClass, name: bytes = b"") -> None:
@@ -144,12 +149,14 @@
         sent_at = asyncio.get_running_loop().time()
         self.log.record_sent(sent_at, body, kind.name, not kind.safe, kind.deadline_s, connection.number, name)
 
+    def _is_usable(self, connection: Connection) -> bool:
+        return not connection.closed and not (connection.draining and self.load.heed_draining)
+
+    def _usable_connections(self) -> list[Connection]:
+        return [connection for connection in self.connections if self._is_usable(connection)]
+
     async def _choose_connection(self) -> Connection | None:
-        usable = [
-            connection
-            for connection in self.connections
-            if not connection.closed and not (connection.draining and self.load.heed_draining)
-        ]
+        usable = self._usable_connections()
         if len(usable) >= self.load.connections:
             return min(usable, key=lambda connection: len(connection.open_ids))
         try:
--- a/lapishaven/lab/soak/trial.py
+++ b/lapishaven/lab/soak/trial.py
@@ -189,7 +189,15 @@
 
     async def _call(self, start: float, seconds: float, heed_draining: bool) -> None:
         keyed = frozenset({KEYED_CLASS.name})
-        load = Load(self.plan.rate, seconds, CONNECTIONS, heed_draining, keyed, REPEAT_SHARE)
+        load = Load(
+            self.plan.rate,
+            seconds,
+            CONNECTIONS,
+            heed_draining,
+            keyed,
+            REPEAT_SHARE,
+            repeats_anywhere=self.plan.inherited,  # its processes are one server
+        )
         await self._new_caller(load).run(arrivals(load, start, self._random, self.plan.classes))
 
     async def _crowd(self, start: float) -> None:
