Shared effects: a key used anew by its own process is claimed anew; the table apart from the log

Now which claim is valid follows from times in the records, and an end names its attempt (test_a_key_that_its_own_process_uses_anew_is_claimed_anew; it fails with the owner's condition taken out).

--- a/lapishaven/core/broker.py
+++ b/lapishaven/core/broker.py
@@ -22,7 +22,8 @@
 from lapishaven.core.execution_guard import ExecutionGuard
 from lapishaven.core.idempotency_keys import IdempotencyKeyTable
 from lapishaven.core.load_sampling import LoadSampling
-from lapishaven.core.peer_effects import EffectName, PeerEffects
+from lapishaven.core.peer_effect_table import EffectName
+from lapishaven.core.peer_effects import PeerEffects
 from lapishaven.core.ports import (
     AttemptRecorder,
     Backend,
--- a/lapishaven/core/durable_execution.py
+++ b/lapishaven/core/durable_execution.py
@@ -91,7 +91,8 @@
         done = effect.effect_state is EffectState.DONE
         self._counters.add("requests", "done elsewhere" if done else "uncertain elsewhere")
         # It did not run here. Duplicates are checked against the store, not against this process's execution guard.
-        self._guard.release(request.submission)
+        # Other processes on the socket learn the end from ``end_without_run``.
+        self._guard.forget(request.submission)
         if done:
             self._lifecycle.end_without_run(request, Answer(AnswerKind.SERVED, effect.result), effect.result)
         else:
--- a/lapishaven/core/effect_records.py
+++ b/lapishaven/core/effect_records.py
@@ -10,13 +10,17 @@
 
 @dataclass(frozen=True, slots=True)
 class EffectClaim:
-    """A process is about to run an attempt. Of several claims of one effect, the first in the log is the valid one."""
+    """A process is about to run an attempt.
+
+    Of the claims of one effect that are made before the first of them expires, that first one in the log is valid.
+    """
 
     owner: str
     attempt_id: str
     class_name: str
     key: str | None  # idempotency key; None if the attempt has none
     body_digest: bytes | None  # of the request's body; None if bodies are not compared
+    claimed_at: float
     attempt_expires_at: float  # until then another request with this attempt id must not run
     effect_expires_at: float  # until then another attempt with this class and key must not run
 
@@ -45,6 +49,7 @@
     """The run of a keyed effect has ended."""
 
     owner: str
+    attempt_id: str
     class_name: str
     key: str
     result: bytes | None  # None if it gave no result, or one that is too large to share
--- a/lapishaven/core/execution_guard.py
+++ b/lapishaven/core/execution_guard.py
@@ -7,7 +7,8 @@
 
 from lapishaven.admission import Idempotency, Settings
 from lapishaven.core.deduplication import ClaimRegistry
-from lapishaven.core.peer_effects import ClaimRefusal, PeerEffect, PeerEffects
+from lapishaven.core.peer_effect_table import PeerEffect
+from lapishaven.core.peer_effects import ClaimRefusal, PeerEffects
 from lapishaven.core.requests import Answer, AnswerKind, Submission
 
 EFFECT_RETENTION_S = 900.0  # if no idempotency window applies; far longer than any caller retries
@@ -67,7 +68,7 @@
         refusal = peers.claim(submission, class_name, self.attempts.retention, retention_s)
         if refusal is None:
             return None
-        self._forget(submission)
+        self.forget(submission)
         if isinstance(refusal, PeerEffect):
             return refusal
         if refusal is ClaimRefusal.KNOWN_ATTEMPT:
@@ -76,11 +77,12 @@
 
     def release(self, submission: Submission) -> None:
         """Remove the record of a run that provably had no effect."""
-        self._forget(submission)
+        self.forget(submission)
         if self.peers is not None:
             self.peers.withdraw(submission.attempt_id)
 
-    def _forget(self, submission: Submission) -> None:
+    def forget(self, submission: Submission) -> None:
+        """Remove the record of a run that did not take place here, though its effect may have been run elsewhere."""
         self.attempts.release(submission.attempt_id)
         self.effects.release((submission.class_index, submission.idempotency_key))
 
--- a/lapishaven/core/request_lifecycle.py
+++ b/lapishaven/core/request_lifecycle.py
@@ -5,7 +5,7 @@
 from lapishaven.admission import Outcome, RunFinished
 from lapishaven.core import outcome_metrics
 from lapishaven.core.core_state import CoreState
-from lapishaven.core.peer_effects import PeerEffect, PeerRunState
+from lapishaven.core.peer_effect_table import PeerEffect, PeerRunState
 from lapishaven.core.ports import Reply
 from lapishaven.core.requests import STATES_WITHOUT_RUN, Answer, AnswerKind, Request, RequestState, Submission
 
--- a/lapishaven/core/requests.py
+++ b/lapishaven/core/requests.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from lapishaven.core.peer_effects import PeerEffect
+    from lapishaven.core.peer_effect_table import PeerEffect
     from lapishaven.core.ports import Backend, Reply
 
 
--- a/lapishaven/core/run_control.py
+++ b/lapishaven/core/run_control.py
@@ -6,7 +6,7 @@
 from lapishaven.core import outcome_metrics
 from lapishaven.core.core_state import CoreState
 from lapishaven.core.durable_execution import DurableExecution
-from lapishaven.core.peer_effects import PeerEffect
+from lapishaven.core.peer_effect_table import PeerEffect
 from lapishaven.core.request_lifecycle import NEVER_RAN_RETRY_AFTER_S, RequestLifecycle
 from lapishaven.core.requests import Answer, AnswerKind, Request, RequestState
 
--- a/lapishaven/effect_log/record_codec.py
+++ b/lapishaven/effect_log/record_codec.py
@@ -70,14 +70,14 @@
     """A JSON array; behind that of an end a space and its result."""
     if isinstance(record, EffectEnded):
         result = NO_RESULT if record.result is None else b64encode(record.result)
-        return _json([record.class_name, record.key]) + b" " + result
+        return _json([record.attempt_id, record.class_name, record.key]) + b" " + result
     if isinstance(record, EffectAwaited):
         return _json([record.class_name, record.key])
     if isinstance(record, ClaimWithdrawn):
         return _json([record.attempt_id, record.class_name, record.key])
     digest = None if record.body_digest is None else record.body_digest.hex()
-    expiries = [record.attempt_expires_at, record.effect_expires_at]
-    return _json([record.attempt_id, record.class_name, record.key, digest, *expiries])
+    times = [record.claimed_at, record.attempt_expires_at, record.effect_expires_at]
+    return _json([record.attempt_id, record.class_name, record.key, digest, *times])
 
 
 def _json(fields: list[str | float | None]) -> bytes:
@@ -112,21 +112,16 @@
     try:
         if line.type_word == b"ended":
             text, _, encoded = line.fields.rpartition(b" ")
-            class_name, key = json.loads(text)
+            attempt_id, class_name, key = json.loads(text)
             result = None if encoded == NO_RESULT else b64decode(encoded)
-            return EffectEnded(line.owner, class_name, key, result, line.expires_at)
+            return EffectEnded(line.owner, attempt_id, class_name, key, result, line.expires_at)
         fields = json.loads(line.fields)
         if line.type_word == b"claim":
-            attempt_id, class_name, key, digest, attempt_expires_at, effect_expires_at = fields
+            attempt_id, class_name, key, digest, *times = fields
+            claimed_at, attempt_expires_at, effect_expires_at = map(float, times)
             body_digest = None if digest is None else bytes.fromhex(digest)
             return EffectClaim(
-                line.owner,
-                attempt_id,
-                class_name,
-                key,
-                body_digest,
-                float(attempt_expires_at),
-                float(effect_expires_at),
+                line.owner, attempt_id, class_name, key, body_digest, claimed_at, attempt_expires_at, effect_expires_at
             )
         if line.type_word == b"withdrawn":
             return ClaimWithdrawn(line.owner, *fields)
--- a/lapishaven/effect_log/shared_effect_log.py
+++ b/lapishaven/effect_log/shared_effect_log.py
@@ -29,10 +29,11 @@
 def folder_of(listening_fd: int) -> Path:
     """The folder of the log for the listening socket with this descriptor.
 
-    Its inode identifies the socket: the processes that inherited it see the same one, and nobody else does.
+    Its inode identifies the socket: the processes that inherited it see the same one, and nobody else does. After a
+    restart of the machine the number comes up again, so the folders of different users are kept apart.
     """
     temporary_folder = os.environ.get("TMPDIR") or DEFAULT_TEMPORARY_FOLDER
-    return Path(temporary_folder) / f"lapishaven-socket-{os.fstat(listening_fd).st_ino}"
+    return Path(temporary_folder) / f"lapishaven-socket-{os.fstat(listening_fd).st_ino}-{os.geteuid()}"
 
 
 class SharedEffectLog:
@@ -122,7 +123,11 @@
         assert part is not None
         try:
             part.delete_expired(self.unix_time())
-            return part.append(encode)
+            try:
+                return part.append(encode)
+            except FileNotFoundError:  # somebody has removed the folder
+                _make_folder(self._folder)
+                return part.append(encode)
         except OSError as error:
             self._report(error)
             return False
--- a/tests/test_peer_effects.py
+++ b/tests/test_peer_effects.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import shutil
 from pathlib import Path
 from random import Random
 
 import pytest
 
-from lapishaven.core.peer_effects import EXPIRY_MARGIN_S, ClaimRefusal, PeerEffect, PeerEffects, PeerRunState
+from lapishaven.core.peer_effect_table import EXPIRY_MARGIN_S, PeerEffect, PeerRunState
+from lapishaven.core.peer_effects import ClaimRefusal, PeerEffects
 from lapishaven.core.requests import Submission
 from lapishaven.counters import Counters
 from lapishaven.effect_log import SharedEffectLog
@@ -143,6 +145,21 @@
     assert second.claim("a1") is None
 
 
+# Guards against a second run after the window: a process that uses a key anew, once its own claim has expired, must not
+# be taken for one whose claim came second, in the second in which the others still count its first claim.
+def test_a_key_that_its_own_process_uses_anew_is_claimed_anew(pair: tuple[Process, Process], clock: Clock) -> None:
+    first, second = pair
+    assert first.claim("a1") is None
+    first.peers.run_ended("a1", b"first")
+    assert second.find() is not None
+    clock.unix_time += WINDOW_S + EXPIRY_MARGIN_S / 2
+    assert first.claim("a2") is None
+    for _ in range(2):
+        effect = second.claim("b1")
+        assert isinstance(effect, PeerEffect) and (effect.attempt_id, effect.result) == ("a2", None)
+        clock.unix_time += EXPIRY_MARGIN_S
+
+
 # Guards against a duplicate that waits until its due time for a process that has died.
 def test_the_run_of_a_dead_process_has_no_result_at_once(pair: tuple[Process, Process], clock: Clock) -> None:
     first, second = pair
@@ -204,6 +221,15 @@
     assert process.claim("a1") is None
 
 
+def test_a_folder_that_was_removed_is_made_anew(tmp_path: Path, clock: Clock) -> None:
+    first, second = Process(tmp_path / "log", clock), Process(tmp_path / "log", clock)
+    assert first.claim("a0", "0") is None
+    shutil.rmtree(tmp_path / "log")
+    for number in range(1, 20):  # over the end of a segment
+        assert first.claim(f"a{number}", str(number)) is None
+        assert isinstance(second.claim(f"b{number}", str(number)), PeerEffect)
+
+
 def test_many_claims_stay_within_their_files(tmp_path: Path, clock: Clock) -> None:
     process = Process(tmp_path, clock)
     for number in range(2000):
--- a/tests/test_segmented_log.py
+++ b/tests/test_segmented_log.py
@@ -24,7 +24,7 @@
 
 
 def claim(owner: str, key: str, expires_at: float = 100.0) -> EffectClaim:
-    return EffectClaim(owner, f"attempt-{owner}-{key}", "approve-commit", key, b"\0" * 16, expires_at, expires_at)
+    return EffectClaim(owner, f"attempt-{owner}-{key}", "approve-commit", key, b"\0" * 16, 1.5, expires_at, expires_at)
 
 
 def append(log: SegmentedLog, record: EffectRecord) -> bool:
@@ -39,7 +39,7 @@
 
 @pytest.mark.parametrize("text", ["", "two\nlines\r\n", " ", "\u2028é", "x" * 4000])
 def test_a_record_is_read_as_it_was_written(text: str) -> None:
-    for record in (claim("1-a", text), EffectEnded("1-a", "class of " + text, text, text.encode(), 7.25)):
+    for record in (claim("1-a", text), EffectEnded("1-a", "attempt", "class of " + text, text, text.encode(), 7.25)):
         line = record_codec.encode(record, 1)
         assert b"\n" not in line
         assert record_codec.decode(record_codec.parse(line)) == record
@@ -79,7 +79,7 @@
 claimed, won = set(), []
 for number in range(2000):
     key = str(number)
-    record = EffectClaim(owner, key + owner, "c", key, None, 9e9, 9e9)
+    record = EffectClaim(owner, key + owner, "c", key, None, 0.0, 9e9, 9e9)
     assert log.append(lambda sequence: record_codec.encode(record, sequence))
     claimed.update(record_codec.decode(line).key for line in log.take())
     if key not in claimed:
--- a/tests/test_shared_effects.py
+++ b/tests/test_shared_effects.py
@@ -101,8 +101,8 @@
             await interpreter.close()
         await self.stack.aclose()
 
-    async def start(self, name: str) -> Process:
-        """Start a process and wait for its yes."""
+    async def start(self, name: str, up: bool = True) -> Process:
+        """Start a process and wait for its yes; without ``up`` its interpreter is away, and there will be none."""
         works = {kind.name: Work(self.run_s, self.run_s) for kind in site.CLASSES}
         interpreter = self.interpreters[name] = Interpreter(
             Box(cores=12), works, Random(1), site.GAUGES, on_run_started=lambda body: self._ran(name, body)
@@ -119,7 +119,10 @@
             if profile["name"] == COMMIT:
                 profile["effect"] = self.effect
         process = await self.platform.start(name, json.dumps(config))
-        await self.platform.ready(process)
+        if up:
+            await self.platform.ready(process)
+        else:
+            interpreter.hide()
         return process
 
     def _ran(self, name: str, body: bytes) -> None:
@@ -240,6 +243,37 @@
     play(script, run_s=0.05)
 
 
+# Guards against the result of another body when both processes get a key at the same moment, with two bodies.
+def test_of_two_bodies_under_one_key_one_runs() -> None:
+    async def script(upgrades: Upgrades) -> None:
+        old = await upgrades.start("old")
+        connections = [await upgrades.connect(old), await upgrades.connect(await upgrades.start("new"))]
+        for n in range(20):
+            tries = [connection.send(f"body {n} {i}", f"key {n}") for i, connection in enumerate(connections)]
+            replies = await asyncio.gather(*tries)
+            assert sorted(map(served, replies)) == sorted(map(failed, replies)) == [False, True]
+        assert sorted(body.rsplit(" ", 1)[0] for body in upgrades.commits()) == sorted(f"body {n}" for n in range(20))
+
+    play(script, run_s=0.05)
+
+
+# Guards against "refused" for what the old process has run, from a new one whose interpreter is not up yet.
+def test_a_process_that_is_not_up_does_not_refuse_what_ran() -> None:
+    async def script(upgrades: Upgrades) -> None:
+        old = await upgrades.start("old")
+        assert served(await (await upgrades.connect(old)).send("body", "key"))
+        old.child.send_signal(signal.SIGSTOP)
+        await upgrades.start("new", up=False)
+        connection = Connection(*await asyncio.open_connection(*upgrades.platform.address))
+        upgrades.connections.append(connection)
+        replies = await asyncio.gather(connection.send("body", "key"), connection.send("other", "other key"))
+        assert failed(replies[0])
+        assert isinstance(replies[1], jsonrpc.ErrorResponse) and replies[1].code == jsonrpc.REJECTED_CODE
+        assert upgrades.commits() == ["body"]
+
+    play(script, run_s=0.1)
+
+
 # Guards against a second run, or a wait until the due time, when the process that ran the first try is killed.
 def test_a_repeat_of_what_a_killed_process_ran_fails_at_once() -> None:
     async def script(upgrades: Upgrades) -> None:
@@ -341,7 +375,7 @@
         await upgrades.platform.kill(old)
         assert upgrades.platform.listener is not None
         inode = os.fstat(upgrades.platform.listener.fileno()).st_ino
-        (folder,) = upgrades.folder.glob(f"lapishaven-socket-{inode}")
+        (folder,) = upgrades.folder.glob(f"lapishaven-socket-{inode}-*")
         for path in folder.glob("*.log"):
             with path.open("ab") as file:
                 file.write(b'\n1234abcd 1-a 1 claim 9e9 ["cut')
