Give the greeting of the shared-effects tests a short run time of its own

Cause: Upgrades.connect stops the other processes while it waits for its greeting, whose run took run_s as well, 1.2 s in test_two_upgrades_close_together. With two starts of 0.45 s before it, p1 was stopped past the due time of the request that it had (2.0 s) and answered late.

Change: the greeting's class runs for 0.05 s. The deadline, the bounds and the run times of commits are as they were.

--- a/tests/test_shared_effects.py
+++ b/tests/test_shared_effects.py
@@ -29,6 +29,7 @@
 HOST = "127.0.0.1"
 COMMIT, FREE = "approve-commit", "fuzzy-match"
 RUN_S, DEADLINE_S, WINDOW_S = 0.6, 2.0, 5.0
+GREETING_RUN_S = 0.05  # the others are stopped as long as this runs, and their requests' time goes on
 SLACK_S = 0.15  # the settings' slack for an answer, and the protocol's for sockets
 KILL_S = DEADLINE_S + 0.7
 
@@ -104,6 +105,7 @@
     async def start(self, name: str, up: bool = True) -> Process:
         """Start a process and wait for its yes; without ``up`` its interpreter is away, and there will be none."""
         works = {kind.name: Work(self.run_s, self.run_s) for kind in site.CLASSES}
+        works[FREE] = Work(GREETING_RUN_S, GREETING_RUN_S)
         interpreter = self.interpreters[name] = Interpreter(
             Box(cores=12), works, Random(1), site.GAUGES, on_run_started=lambda body: self._ran(name, body)
         )
