Review case 10: with pools, a reload that adds a class ends all service

Cause: the pools know the classes of the start alone; the reload raises half way, and from then on each turn of the core raises and loses its events.

Change: review/10 adds a class and its pool by one SIGHUP under light load; no code of the program changes.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Plays the case with the venv of the deploy file's build. TROUBLE=0 leaves out the disruption.
+cd "$(dirname "$0")" && exec ../../.venv/bin/python case.py
