--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -117,14 +117,17 @@
 
     def __init__(self, name: str, log: Callable[[str], None], run_s: dict[str, float], cores: int = 6) -> None:
         self.name, self.run_s, self.cores = name, run_s, cores
-        self.speed = 1.0  # of a core
+        self.speed = 1.0  # of a core, once it is warm
         self.runs: list[Run] = []
         self.samples = 0
         self._log = log
         self._live: dict[str, asyncio.Task[None]] = {}
         self._left: dict[str, float] = {}  # work that each run has left, in seconds of a core
+        self._applied_at: dict[str, float] = {}
         self._notices: list[tuple[int, bytes]] = []
         self._number = 0
+        self._started_at = time.monotonic()
+        self._cold_from, self._cold_s = 1.0, 0.0
         self._writer: asyncio.StreamWriter | None = None
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -135,6 +138,27 @@
         self._server = await asyncio.start_server(self._serve, HOST, 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
+    def die(self) -> None:
+        """Be killed: all that runs and all notices are gone."""
+        for task in self._live.values():
+            task.cancel()
+        self._live.clear()
+        self._left.clear()
+        self._notices, self._number = [], 0
+        if self._writer is not None:
+            self._writer.close()
+
+    def come_back(self, cold_from: float, cold_s: float) -> None:
+        """Start again, cold: with ``cold_from`` of its speed, which grows in even steps for ``cold_s``."""
+        self._started_at = time.monotonic()
+        self._cold_from, self._cold_s = cold_from, cold_s
+
+    def _speed_now(self) -> float:
+        warmth = 1.0
+        if self._cold_s:
+            warmth = min(1.0, (time.monotonic() - self._started_at) / self._cold_s)
+        return self.speed * (self._cold_from + (1.0 - self._cold_from) * warmth)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writer = writer
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
@@ -153,7 +177,8 @@
 
     def _command(self, words: list[str]) -> None:
         if words[0] == "CONNECT":
-            self._send(b"BANNER WARM 60000\r\n")
+            up_ms = round((time.monotonic() - self._started_at) * 1000)
+            self._send(f"BANNER {'COLD' if self._cold_s else 'WARM'} {up_ms}\r\n".encode())
             for number, notice in self._notices:
                 if number > int(words[1]):
                     self._send(notice)
@@ -176,6 +201,7 @@
             return
         self.runs.append(Run(self.name, run_id, class_name, body, time.time()))
         self._log(f"{self.name} runs {class_name} {run_id} body {body.decode()}")
+        self._applied_at[run_id] = time.monotonic()
         self._left[run_id] = self.run_s.get(class_name, 0.2)
         self._start(run_id)
 
@@ -191,7 +217,7 @@
             await asyncio.sleep(min(STEP_S, self._left[run_id]))
             now = time.monotonic()
             share = min(1.0, self.cores / max(1, len(self._live)))  # all that runs shares the cores
-            self._left[run_id] -= (now - before) * self.speed * share
+            self._left[run_id] -= (now - before) * self._speed_now() * share
             before = now
         del self._left[run_id]
         self._live.pop(run_id, None)
@@ -201,7 +227,8 @@
 
     def _notice(self, run_id: str, end: str, result: bytes) -> None:
         self._number += 1
-        line = f"VALUE {self._number} {run_id} {end} 200 {len(result)}\r\n".encode() + result + b"\r\n"
+        lasted_ms = round((time.monotonic() - self._applied_at[run_id]) * 1000)
+        line = f"VALUE {self._number} {run_id} {end} {lasted_ms} {len(result)}\r\n".encode() + result + b"\r\n"
         self._notices = [*self._notices[-3999:], (self._number, line)]
         self._send(line)
 
@@ -255,9 +282,10 @@
 class Caller:
     """A caller of the platform's protocol, on one connection."""
 
-    def __init__(self, log: Callable[[str], None], seed: int = 1) -> None:
+    def __init__(self, log: Callable[[str], None], number: int) -> None:
         self._log = log
-        self._random = Random(seed)
+        self._number = number
+        self._random = Random()  # a call's name is new with every try
         self._last_id = 0
         self._open: dict[int, asyncio.Future[Answer]] = {}
         self._writer: asyncio.StreamWriter | None = None
@@ -289,7 +317,7 @@
         params: dict[str, Any] = {
             "call": f"{self._random.getrandbits(64):016x}",
             "recv": round(sent_at * 1000),
-            "src": 1,
+            "src": self._number,
             "heap": 24.5,
             "crit": 0.9,
             "arg": base64.b64encode(body.encode()).decode(),
@@ -505,9 +533,9 @@
         self._closers.append(standin.close)
         return standin
 
-    async def caller(self, port: int, seed: int) -> Caller:
-        """A caller that is connected to the match server at a port."""
-        caller = Caller(self.log, seed)
+    async def caller(self, port: int, number: int) -> Caller:
+        """The caller with a number, connected to the match server at a port."""
+        caller = Caller(self.log, number)
         await caller.connect(port)
         self._closers.append(caller.close)
         return caller
@@ -539,6 +567,13 @@
             "settings": settings(profiles, cores),
         }
         self.write(node.config.name, json.dumps(node.table))
+        self.nodes.append(node)
+        await self.launch(node, options)
+        return node
+
+    async def launch(self, node: Node, options: str = "") -> None:
+        """Start a match server's process, again after a kill, and wait until it is ready."""
+        name = node.name
         command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         folder = self.temporary / f"tmp-{name}"
         folder.mkdir(exist_ok=True)
@@ -555,9 +590,7 @@
                 stdout=output,
                 stderr=output,
             )
-        self.nodes.append(node)
         await self._wait_until_ready(node)
-        return node
 
     async def _wait_until_ready(self, node: Node) -> None:
         deadline = time.monotonic() + READY_S
