Review: a script that fails by itself exits with 2

Cause: an exception of a script ended it with Python's exit code 1, which stands for a broken rule.

The checks are as they were.

--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -662,7 +662,7 @@
                 trial.log(f"BROKEN: {fault}")
                 print(fault)
             return BROKEN if faults else HELD
-        except (CannotRunError, OSError, TimeoutError) as error:
+        except Exception as error:  # a fault of the script itself is no breach of a rule
             trial.log(f"could not run: {error!r}")
             print(f"could not run: {error!r}", file=sys.stderr)
             return NOT_RUN
