Compare the bodies under one key on every frontend

Cause: each frontend had to compute the body's digest, and the uwsgi frontend did not, so None was compared with None.

Change: Submission computes the digest for every request with a key; the platform's frontend no longer does. An id with another body is failed (502).

--- a/lapishaven/core/effect_records.py
+++ b/lapishaven/core/effect_records.py
@@ -19,7 +19,7 @@
     attempt_id: str
     class_name: str
     key: str | None  # idempotency key; None if the attempt has none
-    body_digest: bytes | None  # of the request's body; None if bodies are not compared
+    body_digest: bytes | None  # of the request's body; None if the key is, or if an earlier version made the claim
     claimed_at: float
     attempt_expires_at: float  # until then another request with this attempt id must not run
     effect_expires_at: float  # until then another attempt with this class and key must not run
--- a/lapishaven/core/idempotency_keys.py
+++ b/lapishaven/core/idempotency_keys.py
@@ -17,7 +17,7 @@
     request_id: int
     expires_at: float | None  # seconds on the host's clock; None: removed when the request is closed
     result: bytes | None = None  # of a completed run; None before that, after a failure, or once evicted
-    body_digest: bytes | None = None  # digest of the request's body; None if bodies are not compared
+    body_digest: bytes | None = None  # digest of the request's body
 
 
 class IdempotencyKeyTable:
--- a/lapishaven/core/peer_effect_table.py
+++ b/lapishaven/core/peer_effect_table.py
@@ -36,7 +36,7 @@
     name: EffectName
     owner: str  # id of that process
     attempt_id: str
-    body_digest: bytes | None  # of the body that its key stands for; None if bodies are not compared
+    body_digest: bytes | None  # of the body that its key stands for; None if an earlier version made the claim
     expires_at: float  # with the margin
     state: PeerRunState = PeerRunState.RUNNING
     result: bytes | None = None  # of a run that has ended; None if it gave none, or it was evicted
--- a/lapishaven/core/requests.py
+++ b/lapishaven/core/requests.py
@@ -4,12 +4,15 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from hashlib import blake2b
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from lapishaven.core.peer_effect_table import PeerEffect
     from lapishaven.core.ports import Backend, Reply
 
+BODY_DIGEST_BYTES = 16  # two different bodies with the same key collide with a probability of 2^-128
+
 
 class AnswerKind(Enum):
     """The kind of an answer. The values appear in counters and logs, so they are part of the interface."""
@@ -34,7 +37,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Submission:
-    """One attempt of a request, as a frontend read it."""
+    """One attempt of a request, as a frontend read it.
+
+    The digest of the body is computed here and not by the frontends, so that the bodies of all requests with a key are
+    compared, whichever protocol they came over.
+    """
 
     attempt_id: str  # unique id under which the backend runs it
     class_index: int  # index of its class in the settings
@@ -50,9 +57,15 @@
     team: str | None = None  # team whose contract covers it; None if the protocol does not give one
     service: str = ""  # service of the team; empty without a team
     time_left: float | None = None  # seconds from arrival until its caller stops waiting; None: the class's deadline
-    body_digest: bytes | None = None  # compared between attempts with the same key; None if not compared
+    body_digest: bytes | None = None  # compared between attempts with the same key; None without a key
     tenant_index: int = 0  # index of its tenant in the settings; beyond the last tenant if unknown
 
+    def __post_init__(self) -> None:
+        """Compute the digest of a request with a key, unless it is given."""
+        if self.idempotency_key is not None and self.body_digest is None:
+            digest = blake2b(self.body, digest_size=BODY_DIGEST_BYTES).digest()
+            object.__setattr__(self, "body_digest", digest)
+
 
 class RequestState(Enum):
     """The state of a request between its arrival and its removal from the request table."""
--- a/lapishaven/frontends/platform.py
+++ b/lapishaven/frontends/platform.py
@@ -5,7 +5,6 @@
 import socket
 import time
 from collections.abc import Generator
-from hashlib import blake2b
 from typing import Any
 
 from lapishaven.connection_end import ConnectionEnd
@@ -18,7 +17,6 @@
 from lapishaven.proto import TooLargeError, jsonrpc
 
 MAX_OPEN_REQUESTS = 64  # on one connection, though the protocol allows callers 32; more are answered with an error
-BODY_DIGEST_BYTES = 16  # two different bodies with the same key collide with a probability of 2^-128
 MESSAGES_PER_ROUND = 16  # of one connection, in one round of the loop, so that a flood on one does not delay others
 NOT_UP_RETRY_AFTER_S = 1.0  # Retry-After until the backend is up
 
@@ -156,9 +154,6 @@
         self.conn.write(jsonrpc.encode_error(message.id, jsonrpc.REJECTED_CODE, "not up yet", NOT_UP_RETRY_AFTER_S))
 
     def _submission(self, message: jsonrpc.RunRequest, class_index: int, request_age: float) -> Submission:
-        body_digest = None
-        if message.idempotency_key is not None:
-            body_digest = blake2b(message.body, digest_size=BODY_DIGEST_BYTES).digest()
         return Submission(
             attempt_id=message.attempt_id,
             class_index=class_index,
@@ -171,7 +166,6 @@
             is_write=message.subject is None,
             subject=message.subject,
             idempotency_key=message.idempotency_key,
-            body_digest=body_digest,
             time_left=message.time_left_s,
             tenant_index=self.host.tenants.get(message.tenant_name or "", len(self.host.tenants)),
         )
