Keep the digest of the body with a stored effect, and compare it

Cause: the stores kept class, key and result; what they found was sent without a comparison.

Change: intents are stored with the digest; RequestLifecycle.is_of_another_request is the one rule for keys of this process, of a peer process and of a store. What an earlier version stored has no digest and answers nobody (failed). The ledger gets a column that earlier versions ignore, so servers of both may share a file. A foreign body's claim in the shared log is withdrawn, so that it does not stand in the way of the request that the key stands for.

Tests: test_a_key_with_another_body_gets_no_result_from_any_server_or_start, test_a_stored_result_does_not_answer_a_request_with_another_body and test_a_result_stored_without_a_digest_answers_no_request fail without the change (200 where 502 is expected) and pass with it. test_stored_data.py compared whole rows of the ledger: they have the new column now, empty for old files, and the old columns are compared as before.

--- a/lapishaven/core/durable_execution.py
+++ b/lapishaven/core/durable_execution.py
@@ -10,7 +10,7 @@
 
 from lapishaven.core.core_state import CoreState
 from lapishaven.core.ports import EffectState, IntentOutcome, KnownEffect, ResultStore
-from lapishaven.core.request_lifecycle import NEVER_RAN_RETRY_AFTER_S, RequestLifecycle
+from lapishaven.core.request_lifecycle import KEY_OF_ANOTHER_REQUEST, NEVER_RAN_RETRY_AFTER_S, RequestLifecycle
 from lapishaven.core.requests import Answer, AnswerKind, Request, RequestState, Submission
 
 
@@ -31,10 +31,18 @@
         """Whether the run and the result of a submission are recorded."""
         return self._settings.is_deduplicated(submission)
 
-    def find_result(self, submission: Submission) -> bytes | None:
-        """The stored result of the submission's effect, whichever process ran it; ``None`` if none is known."""
+    def find_answer(self, submission: Submission) -> Answer | None:
+        """The answer from the stored result of the submission's effect, whichever process ran it.
+
+        ``None`` if no result is known.
+        """
         effect = self._store.find(*self._effect_of(submission))
-        return effect.result if effect.effect_state is EffectState.DONE else None
+        if effect.effect_state is not EffectState.DONE:
+            return None
+        if self._lifecycle.is_of_another_request(submission, effect.body_digest):
+            return KEY_OF_ANOTHER_REQUEST
+        self._counters.add("requests", "answered from its kept result")
+        return Answer(AnswerKind.SERVED, effect.result)
 
     def start(self, request: Request, launch: Callable[[Request], None]) -> None:
         """Record the intent to run the request, and call ``launch`` with the request once the intent is durable.
@@ -89,6 +97,11 @@
     def _answer_known_effect(self, request: Request, effect: KnownEffect) -> None:
         """Answer a request whose effect another process has run or may have run."""
         done = effect.effect_state is EffectState.DONE
+        if done and self._lifecycle.is_of_another_request(request.submission, effect.body_digest):
+            # Its claim is withdrawn everywhere: it must not stand in the way of the request that the key stands for.
+            self._guard.release(request.submission)
+            self._lifecycle.end_without_run(request, KEY_OF_ANOTHER_REQUEST)
+            return
         self._counters.add("requests", "done elsewhere" if done else "uncertain elsewhere")
         # It did not run here. Duplicates are checked against the store, not against this process's execution guard.
         # Other processes on the socket learn the end from ``end_without_run``.
--- a/lapishaven/core/ports.py
+++ b/lapishaven/core/ports.py
@@ -85,6 +85,10 @@
     def result(self) -> bytes:
         """The stored result; empty unless the state is ``DONE``."""
 
+    @property
+    def body_digest(self) -> bytes | None:
+        """Digest of the body that the key stands for; ``None`` if an earlier version stored the effect without it."""
+
 
 class IntentOutcome(Enum):
     """Whether the intent to run a request was made durable."""
--- a/lapishaven/core/request_lifecycle.py
+++ b/lapishaven/core/request_lifecycle.py
@@ -10,6 +10,8 @@
 from lapishaven.core.requests import STATES_WITHOUT_RUN, Answer, AnswerKind, Request, RequestState, Submission
 
 NEVER_RAN_RETRY_AFTER_S = 1.0  # Retry-After if the backend is unreachable or overloaded, or the server shuts down
+KEY_OF_ANOTHER_REQUEST = Answer(AnswerKind.FAILED, reason="this key stands for another request")
+"""The answer to a submission for which ``RequestLifecycle.is_of_another_request`` is true."""
 
 
 class RequestLifecycle:
@@ -85,6 +87,17 @@
         self.close(request, result)
 
     # ---- Duplicates
+    def is_of_another_request(self, submission: Submission, body_digest: bytes | None) -> bool:
+        """Whether a submission's key stands for a request with another body, whose digest is ``body_digest``; counted.
+
+        Such a submission must not get the result of that request. ``None`` is the digest of no body: what an earlier
+        version stored without a digest cannot be shown to be of the same request.
+        """
+        if submission.body_digest == body_digest:
+            return False
+        self._counters.add("requests", "key of another request")
+        return True
+
     def has_waiting_duplicate(self, request: Request) -> bool:
         """Whether the caller of any duplicate still waits for the request's result."""
         duplicates = (self._table.requests.get(request_id) for request_id in request.duplicate_ids)
@@ -109,9 +122,8 @@
     # ---- Duplicates of what another process runs
     def await_peer(self, request: Request, effect: PeerEffect) -> None:
         """Let a request that the controller started wait for the run of its effect in another process."""
-        if effect.body_digest != request.submission.body_digest:
-            self._counters.add("requests", "key of another request")
-            self.end_without_run(request, Answer(AnswerKind.FAILED, reason="this key stands for another request"))
+        if self.is_of_another_request(request.submission, effect.body_digest):
+            self.end_without_run(request, KEY_OF_ANOTHER_REQUEST)
             return
         # The controller is done with it, so it takes no place of a run.
         self._events.append(RunFinished(request.request_id, 0.0, Outcome.OBSOLETE))
--- a/lapishaven/core/submission_intake.py
+++ b/lapishaven/core/submission_intake.py
@@ -10,7 +10,7 @@
 from lapishaven.core.durable_execution import DurableExecution
 from lapishaven.core.idempotency_keys import EffectKey
 from lapishaven.core.ports import Backend, Reply
-from lapishaven.core.request_lifecycle import NEVER_RAN_RETRY_AFTER_S, RequestLifecycle
+from lapishaven.core.request_lifecycle import KEY_OF_ANOTHER_REQUEST, NEVER_RAN_RETRY_AFTER_S, RequestLifecycle
 from lapishaven.core.requests import Answer, AnswerKind, Request, Submission
 
 
@@ -63,20 +63,16 @@
         original = self._keys.find(key, now) if key is not None else None
         peer_effect = self._guard.find_peer_effect(submission, self._settings.current) if original is None else None
         holder = original or peer_effect
-        if holder is not None and holder.body_digest != submission.body_digest:
-            # The same key with another body is not a duplicate: it must not get the result of another caller's request.
-            self._counters.add("requests", "key of another request")
-            answer = Answer(AnswerKind.FAILED, reason="this key stands for another request")
-            self._lifecycle.send(submission, reply, answer)
+        if holder is not None and self._lifecycle.is_of_another_request(submission, holder.body_digest):
+            self._lifecycle.send(submission, reply, KEY_OF_ANOTHER_REQUEST)
             return None
         contract = self._charge_contract(now, submission)
         if isinstance(contract, Denied):
             self._lifecycle.send(submission, reply, self._denial(contract))
             return None
-        stored_result = self._find_stored_result(submission)
-        if stored_result is not None:
-            self._counters.add("requests", "answered from its kept result")
-            self._lifecycle.send(submission, reply, Answer(AnswerKind.SERVED, stored_result))
+        stored_answer = self._find_stored_answer(submission)
+        if stored_answer is not None:
+            self._lifecycle.send(submission, reply, stored_answer)
             return None
         request = self._add_request(now, submission, reply, contract)
         if original is not None:
@@ -118,11 +114,11 @@
         kind = AnswerKind.FORBIDDEN if denied.retry_after is None else AnswerKind.REJECTED
         return Answer(kind, reason=denied.reason, retry_after=denied.retry_after)
 
-    def _find_stored_result(self, submission: Submission) -> bytes | None:
-        """The stored result of the submission's effect, whichever process ran it; ``None`` if there is none."""
+    def _find_stored_answer(self, submission: Submission) -> Answer | None:
+        """The answer from the stored result of the submission's effect; ``None`` if there is no result."""
         if self._durable is None or not self._durable.covers(submission):
             return None
-        return self._durable.find_result(submission)
+        return self._durable.find_answer(submission)
 
     # ---- Adding to the table
     def _add_request(self, now: float, submission: Submission, reply: Reply, contract: Contract | None) -> Request:
--- a/lapishaven/idempotency/result_store.py
+++ b/lapishaven/idempotency/result_store.py
@@ -77,12 +77,13 @@
         if retry_after is not None:
             return retry_after
         try:
-            future = self.store.put(store_key, encode(wall_time, None), wall_time + self.index.lifetime_s)
+            value = encode(wall_time, None, submission.body_digest)
+            future = self.store.put(store_key, value, wall_time + self.index.lifetime_s)
         except StoreFullError as error:
             return error.retry_after_s or RETRY_AFTER_S
         except (StoreError, ValueError):
             return RETRY_AFTER_S
-        self.index.mark_running(wall_time, store_key)
+        self.index.mark_running(wall_time, store_key, submission.body_digest)
 
         def intent_written(durable: bool) -> None:
             callback(IntentOutcome.RECORDED if durable else IntentOutcome.NOT_RECORDED)
@@ -106,9 +107,10 @@
     def record_result(self, class_name: str, key: str, result: bytes, callback: Callable[[bool], None]) -> None:
         """Write the result; ``callback`` is called with whether it is durable."""
         store_key = self.store_key(class_name, key)
-        since = self.index.find(self._wall(), store_key).since
+        entry = self.index.find(self._wall(), store_key)
         try:
-            future = self.store.put(store_key, encode(since, result), since + self.index.lifetime_s)
+            value = encode(entry.since, result, entry.body_digest)
+            future = self.store.put(store_key, value, entry.since + self.index.lifetime_s)
         except (StoreError, ValueError):
             self.index.mark_uncertain(store_key)
             self._completions.post(lambda: callback(False))
--- a/lapishaven/ledger/database.py
+++ b/lapishaven/ledger/database.py
@@ -21,9 +21,12 @@
 create table if not exists effect (
     class text not null, key text not null, standing text not null, start text not null, since real not null,
     ended real, result blob not null default x'', customer text not null, words integer not null default 0,
-    primary key (class, key)
+    digest blob, primary key (class, key)
 ) without rowid
 """
+# Earlier versions did not keep the digest of the body. They read and write a table with this column as before, so that
+# servers of both versions may share the file, and the schema version stays.
+ADD_DIGEST = "alter table effect add column digest blob"
 LEDGER_SCHEMA = """
 create table if not exists ledger (
     class text not null, key text not null, account text not null, words integer not null, at real not null,
@@ -54,6 +57,7 @@
         incarnation: identifies the start of the server that reports the event.
         at: Unix seconds.
         customer: customer to be charged; used for ``INTEND`` only.
+        body_digest: digest of the body that the key stands for; used for ``INTEND`` only.
         result: result of the run; used for ``COMPLETE`` only.
         words: words that the customer is charged; used for ``COMPLETE`` only.
     """
@@ -66,6 +70,7 @@
     customer: str = ""
     result: bytes = b""
     words: int = 0
+    body_digest: bytes | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +89,8 @@
             f"cannot open ledger {path}: schema version {version} is newer than the supported {SCHEMA_VERSION}"
         )
     if version == SCHEMA_VERSION:
+        if not _has_digests(connection):
+            connection.execute(ADD_DIGEST)
         return
     connection.execute(EFFECT_SCHEMA)
     connection.execute(LEDGER_SCHEMA)
@@ -92,6 +99,11 @@
     connection.execute(f"pragma user_version = {SCHEMA_VERSION}")
 
 
+def _has_digests(connection: sqlite3.Connection) -> bool:
+    columns = connection.execute("select 1 from pragma_table_info('effect') where name = 'digest'")
+    return columns.fetchone() is not None
+
+
 def _has_attempt_log(connection: sqlite3.Connection) -> bool:
     tables = connection.execute("select 1 from sqlite_master where type = 'table' and name = 'record'")
     return tables.fetchone() is not None
@@ -151,16 +163,16 @@
 
     def _read_row(self, class_name: str, key: str) -> EffectRow:
         found = self._file.connection.execute(
-            "select standing, start, result from effect where class = ? and key = ?", (class_name, key)
+            "select standing, start, result, digest from effect where class = ? and key = ?", (class_name, key)
         ).fetchone()
         if found is None:
             return EffectRow()
-        state, incarnation, result = found
-        return EffectRow(EffectState(state), incarnation, result)
+        state, incarnation, result, body_digest = found
+        return EffectRow(EffectState(state), incarnation, result, body_digest)
 
     def _insert_effect(self, operation: Operation, state: EffectState) -> None:
         self._file.connection.execute(
-            "insert into effect (class, key, standing, start, since, customer) values (?, ?, ?, ?, ?, ?)",
+            "insert into effect (class, key, standing, start, since, customer, digest) values (?, ?, ?, ?, ?, ?, ?)",
             (
                 operation.class_name,
                 operation.key,
@@ -168,6 +180,7 @@
                 operation.incarnation,
                 operation.at,
                 operation.customer,
+                operation.body_digest,
             ),
         )
 
--- a/lapishaven/ledger/recorder.py
+++ b/lapishaven/ledger/recorder.py
@@ -25,10 +25,11 @@
 
 @dataclass(frozen=True, slots=True)
 class KnownResult:
-    """What is known of an effect, with its result if it completed."""
+    """What is known of an effect: its result if it completed, and the digest of the body that its key stands for."""
 
     effect_state: EffectState
     result: bytes = b""
+    body_digest: bytes | None = None
 
 
 class Recorder:
@@ -71,7 +72,7 @@
         self._backpressure_lock = threading.Lock()  # guards _backpressure; held only briefly
         self._writer = Writer(database, self._group_settled)
         self._completions = CompletionQueue()
-        self._cached_results: OrderedDict[EffectId, bytes] = OrderedDict()
+        self._cached_results: OrderedDict[EffectId, KnownResult] = OrderedDict()
         self._running: dict[EffectId, Submission] = {}  # intended by this incarnation, without an outcome yet
         self.rejected = 0
         self.completed_elsewhere = 0
@@ -85,10 +86,7 @@
     # ---- Implementation of core.ports.DurableResultStore
     def find(self, class_name: str, key: str) -> KnownEffect:
         """What is known without reading the file: cached results, of this incarnation and of others."""
-        result = self._cached_results.get((class_name, key))
-        if result is None:
-            return KnownResult(EffectState.UNKNOWN)
-        return KnownResult(EffectState.DONE, result)
+        return self._cached_results.get((class_name, key), KnownResult(EffectState.UNKNOWN))
 
     def record_intent(
         self, class_name: str, key: str, submission: Submission, callback: IntentCallback
@@ -106,7 +104,15 @@
         effect_id = class_name, key
         self._running[effect_id] = submission
         customer = f"{submission.team}/{submission.service}" if submission.team else f"caller/{submission.caller_id}"
-        operation = Operation(EffectEvent.INTEND, class_name, key, self.incarnation, self._wall(), customer)
+        operation = Operation(
+            EffectEvent.INTEND,
+            class_name,
+            key,
+            self.incarnation,
+            self._wall(),
+            customer,
+            body_digest=submission.body_digest,
+        )
         self._submit(operation, lambda outcome: callback(self._intent_outcome(effect_id, outcome)))
         return None
 
@@ -118,10 +124,11 @@
             return IntentOutcome.NOT_RECORDED
         if outcome.decision is Decision.ALREADY_COMPLETED:
             self.completed_elsewhere += 1
-            self._cache_result(effect_id, outcome.row.result)
-            return KnownResult(EffectState.DONE, outcome.row.result)
+            known = KnownResult(EffectState.DONE, outcome.row.result, outcome.row.body_digest)
+            self._cache_result(effect_id, known)
+            return known
         self.uncertain += 1
-        return KnownResult(EffectState.UNCERTAIN)
+        return KnownResult(EffectState.UNCERTAIN, body_digest=outcome.row.body_digest)
 
     def record_result(self, class_name: str, key: str, result: bytes, callback: Callable[[bool], None]) -> None:
         """Write the result and its charge; ``callback`` is called with whether they are durable."""
@@ -133,7 +140,8 @@
         def result_written(outcome: OperationOutcome | None) -> None:
             durable = outcome is not None and outcome.decision is not Decision.IGNORE
             if durable:
-                self._cache_result(effect_id, result)
+                body_digest = submission.body_digest if submission is not None else None
+                self._cache_result(effect_id, KnownResult(EffectState.DONE, result, body_digest))
             callback(durable)
 
         self._submit(
@@ -195,7 +203,7 @@
         with self._backpressure_lock:
             self._backpressure.entries_settled(self._clock(), count, durable)
 
-    def _cache_result(self, effect_id: EffectId, result: bytes) -> None:
-        self._cached_results[effect_id] = result
+    def _cache_result(self, effect_id: EffectId, known: KnownResult) -> None:
+        self._cached_results[effect_id] = known
         while len(self._cached_results) > MAX_CACHED_RESULTS:
             self._cached_results.popitem(last=False)
--- a/lapishaven/ledger/transitions.py
+++ b/lapishaven/ledger/transitions.py
@@ -58,11 +58,16 @@
 
 @dataclass(frozen=True, slots=True)
 class EffectRow:
-    """An effect as stored. ``incarnation`` identifies the start of the server that intended it."""
+    """An effect as stored.
+
+    ``incarnation`` identifies the start of the server that intended it, ``body_digest`` the body that its key stands
+    for; that is ``None`` if a version stored it that kept no digests.
+    """
 
     state: EffectState = EffectState.ABSENT
     incarnation: str = ""
     result: bytes = b""
+    body_digest: bytes | None = None
 
 
 def decide(row: EffectRow, event: EffectEvent, incarnation: str) -> tuple[Decision, EffectState]:
