End a uwsgi response only by the server's orderly close

Cause: read_response fed the parser the end of the input at whatever end the connection had, this side's own close included, and a body without a length counts as complete there.

Change: ResponseParser.end_of_input is a call of its own, made for PEER_CLOSED alone. The client library's wire uses it for a clean end of the stream, as before.

--- a/lapishaven/backends/uwsgi.py
+++ b/lapishaven/backends/uwsgi.py
@@ -145,10 +145,8 @@
             conn.close(ConnectionEnd.TIMED_OUT, unsent=False)
             return outcome_of(ConnectionEnd.TIMED_OUT), b"", None
         try:
-            response = parser.feed(b"" if isinstance(data, ConnectionEnd) else data)
+            response = _response_at_end(parser, data) if isinstance(data, ConnectionEnd) else parser.feed(data)
         except ProtocolError as error:
-            if isinstance(data, ConnectionEnd):
-                return outcome_of(data), b"", None
             end = ConnectionEnd.TOO_LARGE if isinstance(error, TooLargeError) else ConnectionEnd.PROTOCOL_ERROR
             conn.close(end)
             return outcome_of(end), b"", None
@@ -159,6 +157,16 @@
             return outcome_of(data), b"", None
 
 
+def _response_at_end(parser: proto.ResponseParser, end: ConnectionEnd) -> proto.Response | None:
+    """The response if the end of its connection completes it, which only the server's orderly close does."""
+    if end is not ConnectionEnd.PEER_CLOSED:
+        return None
+    try:
+        return parser.end_of_input()
+    except ProtocolError:
+        return None
+
+
 def outcome_of_response(response: proto.Response) -> Outcome:
     """The outcome of an attempt by its response.
 
--- a/lapishaven/client/wire.py
+++ b/lapishaven/client/wire.py
@@ -173,18 +173,16 @@
 
     def feed(self, data: bytes) -> Iterator[ResponseReceived | DrainingNotice]:
         """Yield the events in received bytes; raise ``ProtocolError`` if they are not an HTTP response."""
-        yield from self._events(data)
+        if self._attempt_id is not None:
+            yield from self._events(self._attempt_id, self._parser.feed(data))
 
     def end_of_stream(self) -> Iterator[ResponseReceived]:
-        """The peer closed the connection, which may mark the end of the response."""
-        yield from self._events(b"")
+        """The peer closed the connection in order, which may mark the end of the response."""
+        if self._attempt_id is not None:
+            yield from self._events(self._attempt_id, self._parser.end_of_input())
 
-    def _events(self, data: bytes) -> Iterator[ResponseReceived]:
-        if self._attempt_id is None:
-            return
-        response = self._parser.feed(data)
+    def _events(self, attempt_id: int, response: uwsgi.Response | None) -> Iterator[ResponseReceived]:
         if response is not None:
-            attempt_id = self._attempt_id
             self._attempt_id = None
             yield ResponseReceived(attempt_id, self._result(response))
 
--- a/lapishaven/proto/uwsgi.py
+++ b/lapishaven/proto/uwsgi.py
@@ -128,10 +128,18 @@
         self._body = bytearray()
 
     def feed(self, data: bytes) -> Response | None:
-        """The response once it is complete, else ``None``. Empty ``data`` is the end of the input.
+        """The response once it is complete, else ``None``. Raises ``ProtocolError``."""
+        return self._receive(data) if data else None
 
-        Raises ``ProtocolError``.
+    def end_of_input(self) -> Response | None:
+        """The response if the peer's orderly close completes it, as it does for one without a length.
+
+        Only a FIN is such an end (RFC 9112, section 6.3 and 8). After a reset or any other end of the connection bytes
+        may be missing, so this must not be called. Raises ``ProtocolError`` if the response is incomplete.
         """
+        return self._receive(b"")
+
+    def _receive(self, data: bytes) -> Response | None:
         try:
             self._http.receive_data(data)
             while (event := self._http.next_event()) is not h11.NEED_DATA:
