Close a backend connection whose server closed it within a response

Callers saw: after enough responses of a uwsgi server that ended early, no descriptor was left for them.

Cause: read_response returned at the peer's end and left its own side open; a connection without a reader has no event that would end it.

Change: it closes the connection there as on its other ways out.

Tests: test_a_connection_that_its_server_closes_early_is_closed_here_too fails without the change (10 s without the end of the connection) and passes with it.

--- a/lapishaven/backends/uwsgi.py
+++ b/lapishaven/backends/uwsgi.py
@@ -154,6 +154,7 @@
             conn.close(ConnectionEnd.FINISHED)
             return outcome_of_response(response), response.body if response.status == HTTP_OK else b"", response
         if isinstance(data, ConnectionEnd):
+            conn.close(data)
             return outcome_of(data), b"", None
 
 
--- a/tests/test_uwsgi_backend.py
+++ b/tests/test_uwsgi_backend.py
@@ -116,3 +116,11 @@
         server.send(part)
     server.connection.close()
     assert server.end() == (Outcome.RESET, b"")
+
+
+def test_a_connection_that_its_server_closes_early_is_closed_here_too(server: UwsgiServer) -> None:
+    """Guards against a descriptor that stays in use for good after each response that ends early."""
+    server.send(HEAD)
+    server.connection.close()
+    server.end()
+    server.until(lambda: server.counters.get("ends", "uwsgi backend peer closed"), "the end of the connection")
