Keep only the uwsgi variables that are read, and at most 256 of them

Cause: the head was kept as a dictionary of strings, ten times its bytes, while the body was awaited; parsing thousands of strings a head held up the loop.

Change: the parser is given the names that are wanted and passes over the others; more than 256 variables are too large (413), which bounds the time of a head. A gateway sends some dozens.

--- a/lapishaven/frontends/uwsgi.py
+++ b/lapishaven/frontends/uwsgi.py
@@ -58,6 +58,19 @@
 }
 """HTTP status by the exact type of the error that a packet raised."""
 
+VARIABLES = (
+    "PATH_INFO",
+    "REQUEST_URI",
+    "REMOTE_ADDR",
+    "HTTP_X_REQUEST_ID",
+    "HTTP_X_RETRY",
+    "HTTP_X_REQUEST_START",
+    "HTTP_X_CALLER",
+    "HTTP_X_TEAM",
+    "HTTP_X_SERVICE",
+)
+"""The names of the variables that are read; no others are kept."""
+
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -161,7 +174,7 @@
     # ---- Input
     def run(self) -> Generator[Wait, Any, None]:
         """Read and serve the request, until the input ends."""
-        parser = proto.RequestParser()
+        parser = proto.RequestParser(VARIABLES)
         excess_bytes = 0
         while True:
             data = yield from self.conn.read()
--- a/lapishaven/proto/uwsgi.py
+++ b/lapishaven/proto/uwsgi.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import dataclass
 from http import HTTPStatus
 from struct import Struct
@@ -13,6 +14,8 @@
 PACKET_HEADER = Struct("<BHB")  # modifier1, size of the variables in bytes, modifier2
 STRING_LENGTH = Struct("<H")  # precedes each name and each value
 MAX_VARIABLES_BYTES = 16 * 1024
+MAX_VARIABLES = 256  # bounds the time that one head takes; a gateway sends some dozens
+CONTENT_LENGTH = "CONTENT_LENGTH"
 MAX_BODY_BYTES = 2048  # the same limit as in ``jsonrpc``
 MAX_RESPONSE_BYTES = 64 * 1024
 
@@ -21,32 +24,53 @@
 class Request:
     """A complete request."""
 
-    variables: dict[str, str]
+    variables: dict[str, str]  # those that the parser was asked for
     body: bytes
 
 
-def _parse_variables(block: bytes) -> dict[str, str]:
+def _end_of_string(block: bytes, offset: int) -> int:
+    """Where the string ends whose length stands at ``offset``. Raises ``ProtocolError``."""
+    if offset + STRING_LENGTH.size > len(block):
+        raise ProtocolError("a variable's length is cut short")
+    (size,) = STRING_LENGTH.unpack_from(block, offset)
+    end: int = offset + STRING_LENGTH.size + size
+    if end > len(block):
+        raise ProtocolError("a variable reaches past its packet")
+    return end
+
+
+def _parse_variables(block: bytes, names: Collection[str] | None) -> dict[str, str]:
+    """The variables with these names, or all of them. Raises ``ProtocolError``.
+
+    The others are passed over and not kept: a short variable takes many times its bytes as two strings in a dictionary.
+    """
     variables: dict[str, str] = {}
-    offset, strings = 0, list[str]()
+    offset = count = 0
     while offset < len(block):
-        if offset + 2 > len(block):
-            raise ProtocolError("a variable's length is cut short")
-        (size,) = STRING_LENGTH.unpack_from(block, offset)
-        offset += 2 + size
-        if offset > len(block):
-            raise ProtocolError("a variable reaches past its packet")
-        strings.append(block[offset - size : offset].decode("latin-1"))
-    if len(strings) % 2:
-        raise ProtocolError("a variable has no value")
-    for name, value in zip(strings[::2], strings[1::2], strict=True):
-        variables[name] = value
+        count += 1
+        if count > MAX_VARIABLES:
+            raise TooLargeError(f"there are more than {MAX_VARIABLES} variables")
+        name_end = _end_of_string(block, offset)
+        if name_end == len(block):
+            raise ProtocolError("a variable has no value")
+        value_end = _end_of_string(block, name_end)
+        name = block[offset + STRING_LENGTH.size : name_end].decode("latin-1")
+        if names is None or name in names:
+            variables[name] = block[name_end + STRING_LENGTH.size : value_end].decode("latin-1")
+        offset = value_end
     return variables
 
 
 class RequestParser:
-    """Parses the single request of a connection; limits are checked as soon as a size field is received."""
+    """Parses the single request of a connection; limits are checked as soon as a size field is received.
 
-    def __init__(self) -> None:
+    What it holds of an incomplete request takes no more memory than a small multiple of the bytes received, as long as
+    ``names`` are few.
+    """
+
+    def __init__(self, names: Collection[str] | None = None) -> None:
+        """``names`` are those of the variables that are wanted; ``None``: all of them."""
+        self._names = None if names is None else frozenset((*names, CONTENT_LENGTH))
         self._data = bytearray()  # the packet; once the variables are parsed, the body alone
         self._variables: dict[str, str] | None = None
         self._body_bytes = 0  # size of the body, from CONTENT_LENGTH
@@ -75,9 +99,10 @@
             raise TooLargeError(f"the variables are longer than {MAX_VARIABLES_BYTES} bytes")
         if len(self._data) < PACKET_HEADER.size + size:
             return False
-        self._variables = _parse_variables(bytes(self._data[PACKET_HEADER.size : PACKET_HEADER.size + size]))
+        block = bytes(self._data[PACKET_HEADER.size : PACKET_HEADER.size + size])
+        self._variables = _parse_variables(block, self._names)
         del self._data[: PACKET_HEADER.size + size]
-        length = self._variables.get("CONTENT_LENGTH", "") or "0"
+        length = self._variables.get(CONTENT_LENGTH, "") or "0"
         if not (length.isascii() and length.isdigit()):
             raise ProtocolError("CONTENT_LENGTH is not a number")
         # The number of digits is checked first, because ``int`` raises ``ValueError`` for thousands of digits.
@@ -100,7 +125,7 @@
 def encode_request(variables: dict[str, str], body: bytes = b"") -> bytes:
     """Encode a client's request."""
     block = bytearray()
-    for name, value in {**variables, "CONTENT_LENGTH": str(len(body))}.items():
+    for name, value in {**variables, CONTENT_LENGTH: str(len(body))}.items():
         for string in (name.encode("latin-1"), value.encode("latin-1")):
             block += STRING_LENGTH.pack(len(string)) + string
     return PACKET_HEADER.pack(0, len(block), 0) + bytes(block) + body
