Bound what all connections hold of incomplete messages

Cause: each connection's buffer was bounded, their sum only by the descriptors.

Change: an eighth of limits.memory_mb in total.

--- a/lapishaven/frontends/__init__.py
+++ b/lapishaven/frontends/__init__.py
@@ -39,6 +39,10 @@
     def busy(self) -> bool:
         """Whether input that was read is still to be processed or answered."""
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Bytes held of a message that is not complete; 0 once ``close_gracefully`` was called."""
+
     def run(self) -> Generator[Wait, Any, None]:
         """Read and serve until the input ends."""
 
--- a/lapishaven/frontends/platform.py
+++ b/lapishaven/frontends/platform.py
@@ -33,6 +33,7 @@
         self.conn = Connection(host.loop, sock, self._ended)
         self.open: dict[int, Request | None] = {}  # by JSON-RPC id; None: a health check or a request being submitted
         self.awaiting_since: float | None = host.loop.now  # loop time since which an incomplete message is awaited
+        self._parser = jsonrpc.ServerParser()
         self._ids_by_attempt: dict[str, int] = {}  # JSON-RPC ids by the caller's attempt id
         self._feeding = False  # whether messages that were read are still being processed
         self._closing_as: ConnectionEnd | None = None  # the end to close with once no request is open
@@ -44,27 +45,31 @@
         """Whether input that was read is still to be processed or answered."""
         return bool(self.open) or self._feeding
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Bytes held of an incomplete message."""
+        return 0 if self._feeding else self._parser.unfinished_bytes
+
     # ---- Input
     def run(self) -> Generator[Wait, Any, None]:
         """Read and serve until the input ends."""
-        parser = jsonrpc.ServerParser()
         while True:
             data = yield from self.conn.read()
             if isinstance(data, ConnectionEnd):
                 self._input_ended(data)
                 return
-            if not (yield from self._feed(parser, data or b"")):
+            if not (yield from self._feed(data or b"")):
                 return
-            self._update_awaiting_since(parser)
+            self._update_awaiting_since()
             if self._closing_as is not None:
                 self.close_gracefully(self._closing_as)
                 return
 
-    def _feed(self, parser: jsonrpc.ServerParser, data: bytes) -> Generator[Wait, Any, bool]:
+    def _feed(self, data: bytes) -> Generator[Wait, Any, bool]:
         """Process the messages that ``data`` completes; returns false if the connection ended before one of them."""
         self._feeding = True
         try:
-            for count, message in enumerate(parser.feed(data), 1):
+            for count, message in enumerate(self._parser.feed(data), 1):
                 if count % MESSAGES_PER_ROUND == 0:
                     yield self.host.loop.next_round()
                 if self.conn.end is not None:
@@ -77,9 +82,9 @@
             self._feeding = False
         return True
 
-    def _update_awaiting_since(self, parser: jsonrpc.ServerParser) -> None:
+    def _update_awaiting_since(self) -> None:
         """Update the time since which an incomplete message is awaited."""
-        if parser.at_message_boundary:
+        if self._parser.at_message_boundary:
             self.awaiting_since = None
         elif self.awaiting_since is None:
             self.awaiting_since = self.host.loop.now
@@ -217,6 +222,7 @@
         self._closing_as = end
         if self._feeding:
             return  # input that was read is processed first
+        self._parser.clear()
         self.conn.discard()
         if not self.open:
             self.conn.close(end)
--- a/lapishaven/frontends/uwsgi.py
+++ b/lapishaven/frontends/uwsgi.py
@@ -162,6 +162,7 @@
         self.awaiting_since: float | None = host.loop.now  # since when the request is awaited; None once it is read
         self._random = random
         self._load_report = load_report
+        self._parser = proto.RequestParser(VARIABLES)
         self._request: Request | None = None
         self._open = False  # whether the request was submitted and is not answered
         self._closing_as: ConnectionEnd | None = None  # the end to close with after the answer; None for FINISHED
@@ -171,10 +172,15 @@
         """Whether the request is still to be answered."""
         return self._open
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Bytes held of the request while it is not complete."""
+        return 0 if self._closing_as is not None else self._parser.unfinished_bytes
+
     # ---- Input
     def run(self) -> Generator[Wait, Any, None]:
         """Read and serve the request, until the input ends."""
-        parser = proto.RequestParser(VARIABLES)
+        parser = self._parser
         excess_bytes = 0
         while True:
             data = yield from self.conn.read()
--- a/lapishaven/proto/jsonrpc.py
+++ b/lapishaven/proto/jsonrpc.py
@@ -149,6 +149,15 @@
         """Whether there is no incomplete message."""
         return not self._lines.data
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Bytes held that were fed and not yet consumed."""
+        return len(self._lines.data)
+
+    def clear(self) -> None:
+        """Drop what is held, as no further message is wanted."""
+        self._lines.data.clear()
+
     def feed(self, data: bytes) -> Iterator[Message]:
         """Yield the messages that ``data`` completes. Raises ``TooLargeError`` if a line exceeds the limit."""
         self._lines.feed(data)
--- a/lapishaven/proto/uwsgi.py
+++ b/lapishaven/proto/uwsgi.py
@@ -73,9 +73,15 @@
         self._names = None if names is None else frozenset((*names, CONTENT_LENGTH))
         self._data = bytearray()  # the packet; once the variables are parsed, the body alone
         self._variables: dict[str, str] | None = None
+        self._kept_bytes = 0  # size of the names and values in them
         self._body_bytes = 0  # size of the body, from CONTENT_LENGTH
         self.done = False
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Bytes held of a request that is not complete."""
+        return 0 if self.done else len(self._data) + self._kept_bytes
+
     def feed(self, data: bytes) -> Request | None:
         """The request once it is complete, else ``None``. Bytes after it are ignored. Raises ``ProtocolError``."""
         if self.done:
@@ -101,6 +107,7 @@
             return False
         block = bytes(self._data[PACKET_HEADER.size : PACKET_HEADER.size + size])
         self._variables = _parse_variables(block, self._names)
+        self._kept_bytes = sum(len(name) + len(value) for name, value in self._variables.items())
         del self._data[: PACKET_HEADER.size + size]
         length = self._variables.get(CONTENT_LENGTH, "") or "0"
         if not (length.isascii() and length.isdigit()):
--- a/lapishaven/server/client_connections.py
+++ b/lapishaven/server/client_connections.py
@@ -17,10 +17,13 @@
 class ClientConnections:
     """Holds each session from its accept until its descriptor is released."""
 
-    def __init__(self, loop: Loop, budget: DescriptorBudget, counters: Counters, idle_timeout: float) -> None:
-        """``idle_timeout`` is in seconds."""
+    def __init__(
+        self, loop: Loop, budget: DescriptorBudget, counters: Counters, idle_timeout: float, unfinished_limit: int
+    ) -> None:
+        """``idle_timeout`` is in seconds, ``unfinished_limit`` in bytes of incomplete messages of all connections."""
         self.idle_timeout = idle_timeout  # in seconds; a connection without open requests is closed after it
         self.sessions: dict[Session, float] = {}  # time of the last eviction check (clock algorithm), oldest first
+        self._unfinished_limit = unfinished_limit
         self._loop = loop
         self._budget = budget
         self._counters = counters
@@ -89,8 +92,28 @@
                     self._close_if_unused(session, ConnectionEnd.TIMED_OUT)
             elif session.conn.last_active < idle_since:
                 self._close_if_unused(session, ConnectionEnd.IDLE)
+        self._bound_unfinished_bytes()
         self._loop.at(self._loop.now + SWEEP_INTERVAL_S, self.sweep)
 
+    def _bound_unfinished_bytes(self) -> None:
+        """Close the connections whose messages have been incomplete for longest, while all hold too many bytes.
+
+        Callers that send whole messages have none for longer than a packet takes to arrive, so they are not concerned.
+        What is open on such a connection is still answered.
+        """
+        unfinished = {session: size for session in self.sessions if (size := session.unfinished_bytes)}
+        excess = sum(unfinished.values()) - self._unfinished_limit
+        if excess <= 0:
+            return
+        for session in sorted(unfinished, key=lambda session: session.awaiting_since or self._loop.now):
+            if excess <= 0:
+                return
+            if session.conn.read_available():
+                continue  # its message may be complete now
+            excess -= unfinished[session]
+            self._counters.add("connections", "closed for incomplete messages")
+            session.close_gracefully(ConnectionEnd.EVICTED)
+
     # ---- Shutdown
     def drain(self) -> None:
         """Tell all peers to send no new requests here."""
--- a/lapishaven/server/server.py
+++ b/lapishaven/server/server.py
@@ -38,6 +38,7 @@
 from lapishaven.server.signals import SignalDispatcher, Signals
 from lapishaven.server.status import ServerStatus
 
+UNFINISHED_MEMORY_DIVISOR = 8  # messages that are not complete may take up to 1/8 of the memory limit
 UNSENT_MEMORY_DIVISOR = 8  # answers that callers have not read may take up 1/8 of the memory limit
 PEER_RESULT_MEMORY_DIVISOR = 32  # results of other processes' runs may take up 1/32 of the memory limit
 INHERITED_SOCKET_DELAY_S = 2.0  # after which a new process accepts on an inherited socket even without its backend
@@ -75,14 +76,16 @@
         options = options or ServerOptions()
         self.running = RunningConfig(files)
         self.loop = options.loop or Loop()
-        self.loop.unsent_limit = files.config.memory_mb * BYTES_PER_MB // UNSENT_MEMORY_DIVISOR
+        memory_bytes = files.config.memory_mb * BYTES_PER_MB
+        self.loop.unsent_limit = memory_bytes // UNSENT_MEMORY_DIVISOR
         self.log = options.log
         self.counters = options.counters or Counters()
         self.attempt_log = options.attempt_log
         self.fleet = options.fleet
         self.budget = descriptor_budget(files)
         idle_timeout = files.config.settings.idle_timeout or DEFAULT_IDLE_TIMEOUT_S
-        self.callers = ClientConnections(self.loop, self.budget, self.counters, idle_timeout)
+        unfinished_limit = memory_bytes // UNFINISHED_MEMORY_DIVISOR
+        self.callers = ClientConnections(self.loop, self.budget, self.counters, idle_timeout, unfinished_limit)
         self.reporter = CatalogReporter(self.loop, files.config.catalog, files.config.name, self.counters, options.dial)
         self.listener = ControllerListener(self.running, self.reporter, self.callers, self.fleet, self.log)
         self._build_core(files, options)
