--- a/lapishaven/lab/field/tier.py
+++ b/lapishaven/lab/field/tier.py
@@ -28,6 +28,7 @@
 FRONTEND_CORES = 400  # so many that the backends limit the load, not the frontend
 NOT_SERVED_LATENCY_S = 1e6  # sorts calls that were not served after all others
 HOST = "127.0.0.1"
+RECEIVE_BYTES = 4096  # at most, by one read
 
 
 @dataclass(frozen=True, slots=True)
@@ -209,10 +210,8 @@
                         **(extra_variables or {}),
                     }
                     writer.write(uwsgi.encode_request(variables, body))
-                    parser = uwsgi.ResponseParser()
-                    while (response := parser.feed(await reader.read(4096))) is None:
-                        pass
-                    status = response.status
+                    response = await _read_response(reader)
+                    status = response.status if response is not None else 0
                 finally:
                     writer.transport.abort()
         except (OSError, TimeoutError, ProtocolError):
@@ -255,3 +254,12 @@
         "on_time": round(1 - late_count / len(calls), 4),
         "statuses": dict(sorted(statuses.items())),
     }
+
+
+async def _read_response(reader: asyncio.StreamReader) -> uwsgi.Response | None:
+    """The response, which an orderly close may end; ``None`` without one. Raises ``OSError`` or ``ProtocolError``."""
+    parser = uwsgi.ResponseParser()
+    while data := await reader.read(RECEIVE_BYTES):
+        if (response := parser.feed(data)) is not None:
+            return response
+    return parser.end_of_input()
