Refuse the requests of a connection that floods the server first

Cause: the admission controller knows no origin but names of the client's choice. The flood filled the queue and kept the load where all are rejected.

Change: core/source_fairness.py, asked before the controller. A connection that alone sends over 32 requests a second and core of the backend, or four times what was served, while others send too, is refused at once, with the time after which it is not limited any more, unless half of the cores are idle; what it has queued is given up. New connections of a frontend count together besides. Repeats of what runs or ran are never refused for it. Ordinary overload, and a server with one caller, are as before.

--- a/lapishaven/core/broker.py
+++ b/lapishaven/core/broker.py
@@ -36,6 +36,7 @@
 from lapishaven.core.request_table import RequestTable
 from lapishaven.core.requests import Answer, AnswerKind, Request, RequestState, Submission
 from lapishaven.core.run_control import RunControl
+from lapishaven.core.source_fairness import RequestSource, SourceFairness
 from lapishaven.core.submission_intake import SubmissionIntake
 from lapishaven.counters import Counters
 
@@ -98,6 +99,7 @@
             keys=IdempotencyKeyTable(memory // STORED_RESULTS_DIVISOR),
             guard=self.guard,
             drain_state=DrainState(),
+            fairness=SourceFairness(),
             recorder=recorder or NullAttemptRecorder(),
             counters=counters,
             events=[],
@@ -143,6 +145,10 @@
             self._peers.advance(now)
         return self._intake.submit(now, submission, reply)
 
+    def record_unsubmitted(self, now: float, source: RequestSource) -> None:
+        """Count a request that its frontend answers itself, as too many are open on the connection."""
+        self._intake.record_arrival(now, source)
+
     def cancel(self, request: Request) -> None:
         """Cancel a request whose caller has gone: it is not answered, and the controller may stop its run."""
         if request.reply is None:
@@ -198,13 +204,11 @@
         """Answer every open request in its current state, and reject all further submissions."""
         self._drain_state.closed = True
         for request in self._table.unanswered:
-            self._events.append(RequestCancelled(request.request_id))
             if not request.ran and request.state is RequestState.QUEUED:
                 answer = Answer(AnswerKind.REJECTED, reason="the server leaves", retry_after=NEVER_RAN_RETRY_AFTER_S)
             else:
                 answer = Answer(AnswerKind.FAILED, reason="the server leaves")
-            self._lifecycle.answer(request, answer)
-            self._lifecycle.close_unless_running(request)
+            self._lifecycle.give_up(request, answer)
 
     def _is_claimed(self, name: EffectName) -> bool:
         """Whether this process has started the effect."""
@@ -243,9 +247,7 @@
         """Answer requests that the controller has not answered by their deadline, or shortly before the kill."""
         while (request := self._table.next_overdue(now)) is not None:
             self.counters.add("requests", "net at due")
-            self._events.append(RequestCancelled(request.request_id))
-            self._lifecycle.answer(request, Answer(AnswerKind.DEADLINE_EXCEEDED, reason="its due time came"))
-            self._lifecycle.close_unless_running(request)
+            self._lifecycle.give_up(request, Answer(AnswerKind.DEADLINE_EXCEEDED, reason="its due time came"))
 
     def _give_up_abandoned_runs(self, now: float) -> None:
         """Remove the runs whose end was still not reported long after their deadline."""
--- a/lapishaven/core/core_state.py
+++ b/lapishaven/core/core_state.py
@@ -11,6 +11,7 @@
 from lapishaven.core.idempotency_keys import IdempotencyKeyTable
 from lapishaven.core.ports import AttemptRecorder
 from lapishaven.core.request_table import RequestTable
+from lapishaven.core.source_fairness import SourceFairness
 from lapishaven.counters import Counters
 
 
@@ -23,6 +24,7 @@
     keys: IdempotencyKeyTable
     guard: ExecutionGuard
     drain_state: DrainState
+    fairness: SourceFairness
     recorder: AttemptRecorder
     counters: Counters
     events: list[Event]  # events for the controller's next batch, in order
--- a/lapishaven/core/execution_guard.py
+++ b/lapishaven/core/execution_guard.py
@@ -100,6 +100,11 @@
         self.peers.refresh()
         return self.peers.find((request_class.name, key))
 
+    def is_known_effect(self, submission: Submission) -> bool:
+        """Whether this process has started the submission's effect before."""
+        key = submission.idempotency_key
+        return key is not None and self.effects.is_claimed((submission.class_index, key))
+
     def is_known_attempt(self, submission: Submission, settings: Settings) -> bool:
         """Whether the attempt was started, here or, unless its class is idempotent, in another process."""
         if self.attempts.is_claimed(submission.attempt_id):
--- a/lapishaven/core/request_lifecycle.py
+++ b/lapishaven/core/request_lifecycle.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lapishaven.admission import Outcome, RunFinished
+from lapishaven.admission import Outcome, RequestCancelled, RunFinished
 from lapishaven.core import outcome_metrics
 from lapishaven.core.core_state import CoreState
 from lapishaven.core.peer_effect_table import PeerEffect, PeerRunState
@@ -62,6 +62,8 @@
             return
         request.state = RequestState.CLOSED
         self._table.remove(request)
+        for record in request.source_records:
+            record.open_requests.pop(request.request_id, None)
         submission = request.submission
         self._guard.run_ended(submission, result)
         if submission.idempotency_key is not None:
@@ -75,6 +77,12 @@
             if duplicate is not None:
                 self._answer_duplicate(duplicate, result, request.ran)
 
+    def give_up(self, request: Request, answer: Answer) -> None:
+        """Answer a request that the controller has not answered, and let the controller forget it."""
+        self._events.append(RequestCancelled(request.request_id))
+        self.answer(request, answer)
+        self.close_unless_running(request)
+
     def close_unless_running(self, request: Request) -> None:
         """Close an answered or cancelled request, unless the end of its run or of a write is still outstanding."""
         if request.state in STATES_WITHOUT_RUN:
--- a/lapishaven/core/requests.py
+++ b/lapishaven/core/requests.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from lapishaven.core.peer_effect_table import PeerEffect
     from lapishaven.core.ports import Backend, Reply
+    from lapishaven.core.source_fairness import RequestSource
 
 BODY_DIGEST_BYTES = 16  # two different bodies with the same key collide with a probability of 2^-128
 
@@ -59,6 +60,7 @@
     time_left: float | None = None  # seconds from arrival until its caller stops waiting; None: the class's deadline
     body_digest: bytes | None = None  # compared between attempts with the same key; None without a key
     tenant_index: int = 0  # index of its tenant in the settings; beyond the last tenant if unknown
+    source: RequestSource | None = field(default=None, compare=False, repr=False)  # None: it is not limited
 
     def __post_init__(self) -> None:
         """Compute the digest of a request with a key, unless it is given."""
@@ -98,3 +100,4 @@
     duplicate_of: int | None = None  # request id of the original; None if it is not a duplicate
     awaited_effect: PeerEffect | None = None  # the original if another process has claimed it
     duplicate_ids: list[int] = field(default_factory=list)  # request ids of the duplicates that wait for its result
+    source_records: tuple[RequestSource, ...] = ()  # in which it counts as open
--- a/lapishaven/core/run_control.py
+++ b/lapishaven/core/run_control.py
@@ -26,6 +26,7 @@
         self._counters = state.counters
         self._events = state.events
         self._lifecycle = lifecycle
+        self._fairness = state.fairness
         self._durable = durable
 
     # ---- Start and pause
@@ -110,6 +111,7 @@
         return request.reply is None and self._settings.current.cancellation == "pause" and self._is_awaited(request)
 
     def _finish_served(self, request: Request, result: bytes) -> None:
+        self._fairness.record_served()
         if self._durable is not None and self._durable.covers(request.submission):
             self._durable.record_result(request, result)
             return
--- a/lapishaven/core/submission_intake.py
+++ b/lapishaven/core/submission_intake.py
@@ -11,11 +11,20 @@
 from lapishaven.core.idempotency_keys import EffectKey
 from lapishaven.core.ports import Backend, Reply
 from lapishaven.core.request_lifecycle import KEY_OF_ANOTHER_REQUEST, NEVER_RAN_RETRY_AFTER_S, RequestLifecycle
-from lapishaven.core.requests import Answer, AnswerKind, Request, Submission
+from lapishaven.core.requests import Answer, AnswerKind, Request, RequestState, Submission
+from lapishaven.core.source_fairness import RETRY_AFTER_S as FLOOD_RETRY_AFTER_S
+from lapishaven.core.source_fairness import RequestSource
+
+SOURCE_FLOODS = Answer(
+    AnswerKind.REJECTED, reason="too many requests on one connection", retry_after=FLOOD_RETRY_AFTER_S
+)
+"""The answer to a request of a source that floods the server."""
 
 
 class SubmissionIntake:
-    """Checks each submission, in this order: shutdown, known attempt, key with another body, contract, stored result.
+    """Checks each submission.
+
+    In this order: shutdown, known attempt, key with another body, contract, stored result, fairness between sources.
 
     A submission that passes is added to the table, and its arrival is reported to the controller.
     """
@@ -38,6 +47,7 @@
         self._keys = state.keys
         self._guard = state.guard
         self._drain_state = state.drain_state
+        self._fairness = state.fairness
         self._counters = state.counters
         self._events = state.events
         self._lifecycle = lifecycle
@@ -55,6 +65,7 @@
     def submit(self, now: float, submission: Submission, reply: Reply) -> Request | None:
         """Add a submission to the table; ``None`` if it was answered immediately."""
         self._counters.add("requests", "read")
+        self.record_arrival(now, submission.source)
         answer = self._check_attempt(submission)
         if answer is not None:
             self._lifecycle.send(submission, reply, answer)
@@ -74,6 +85,10 @@
         if stored_answer is not None:
             self._lifecycle.send(submission, reply, stored_answer)
             return None
+        if original is None and peer_effect is None and not self._may_open(now, submission):
+            self._counters.add("reasons", SOURCE_FLOODS.reason)
+            self._lifecycle.send(submission, reply, SOURCE_FLOODS)
+            return None
         request = self._add_request(now, submission, reply, contract)
         if original is not None:
             request.duplicate_of = original.request_id
@@ -120,6 +135,24 @@
             return None
         return self._durable.find_answer(submission)
 
+    # ---- Fairness between sources
+    def record_arrival(self, now: float, source: RequestSource | None) -> None:
+        """Count an arrival, and give up what sources that flood the server have queued."""
+        if source is None:
+            return
+        for request in self._fairness.record_arrival(now, source, self._settings.current.cores):
+            is_unstarted = request.state is RequestState.QUEUED and not request.ran and request.reply is not None
+            if is_unstarted and not self._guard.is_known_effect(request.submission):
+                self._counters.add("reasons", SOURCE_FLOODS.reason)
+                self._lifecycle.give_up(request, SOURCE_FLOODS)
+
+    def _may_open(self, now: float, submission: Submission) -> bool:
+        """Whether a submission may be added; what has run before is not rejected."""
+        if submission.source is None or self._guard.is_known_effect(submission):
+            return True
+        cores = self._settings.current.cores
+        return self._fairness.may_open(now, submission.source, len(self._table.requests), cores)
+
     # ---- Adding to the table
     def _add_request(self, now: float, submission: Submission, reply: Reply, contract: Contract | None) -> Request:
         """Add a submission to the table, with the earliest of the deadlines of its class, contract and caller."""
@@ -141,6 +174,10 @@
             backend=backend,
         )
         self._table.add(request)
+        if submission.source is not None:
+            request.source_records = submission.source.records(now)
+            for record in request.source_records:
+                record.open_requests[request.request_id] = request
         answer_at = min(max(request.deadline, now), self._drain_state.final_answers_at)
         self._table.schedule_final_answer(answer_at, request)
         return request
--- a/lapishaven/frontends/platform.py
+++ b/lapishaven/frontends/platform.py
@@ -11,6 +11,7 @@
 from lapishaven.core import Answer, AnswerKind, Submission
 from lapishaven.core.outcome_metrics import FAULTED, THROTTLED
 from lapishaven.core.requests import Request
+from lapishaven.core.source_fairness import RequestSource
 from lapishaven.frontends import Host, age
 from lapishaven.net.connection import Connection
 from lapishaven.net.loop import Wait
@@ -28,11 +29,13 @@
     ``docs/design/closing.md``.
     """
 
-    def __init__(self, host: Host, sock: socket.socket) -> None:
+    def __init__(self, host: Host, sock: socket.socket, new_connections: RequestSource) -> None:
+        """``new_connections`` is the record that the new connections of this frontend share."""
         self.host = host
         self.conn = Connection(host.loop, sock, self._ended)
         self.open: dict[int, Request | None] = {}  # by JSON-RPC id; None: a health check or a request being submitted
         self.awaiting_since: float | None = host.loop.now  # loop time since which an incomplete message is awaited
+        self._source = RequestSource(host.loop.now, new_connections)
         self._parser = jsonrpc.ServerParser()
         self._ids_by_attempt: dict[str, int] = {}  # JSON-RPC ids by the caller's attempt id
         self._feeding = False  # whether messages that were read are still being processed
@@ -129,6 +132,8 @@
         if len(self.open) >= MAX_OPEN_REQUESTS:
             # Keep reading the connection: the next messages may cancel open requests.
             self.host.counters.add("platform", "too many open")
+            if self.host.broker is not None:
+                self.host.broker.record_unsubmitted(self.host.loop.now, self._source)
             self.conn.write(jsonrpc.encode_error(message.id, jsonrpc.INVALID_REQUEST, "too many open requests"))
             return
         request_age = age(time.time(), message.received_at)
@@ -172,6 +177,7 @@
             subject=message.subject,
             idempotency_key=message.idempotency_key,
             time_left=message.time_left_s,
+            source=self._source,
             tenant_index=self.host.tenants.get(message.tenant_name or "", len(self.host.tenants)),
         )
 
--- a/lapishaven/frontends/uwsgi.py
+++ b/lapishaven/frontends/uwsgi.py
@@ -28,6 +28,7 @@
 from lapishaven.core import Answer, AnswerKind, Submission
 from lapishaven.core.outcome_metrics import THROTTLED
 from lapishaven.core.requests import Request
+from lapishaven.core.source_fairness import RequestSource
 from lapishaven.frontends import Host, age
 from lapishaven.net.connection import Connection
 from lapishaven.net.loop import Wait
@@ -86,7 +87,12 @@
 
 
 def submission(
-    request: proto.Request, classes: dict[str, int], front: UwsgiFrontendConfig, attempt_id: str, now: float
+    request: proto.Request,
+    classes: dict[str, int],
+    front: UwsgiFrontendConfig,
+    attempt_id: str,
+    now: float,
+    source: RequestSource | None = None,
 ) -> Submission:
     """Build a core request from a packet.
 
@@ -117,6 +123,7 @@
         idempotency_key=json.dumps([team, service, request_id]) if request_id else None,
         team=team,
         service=service,
+        source=source,
     )
 
 
@@ -153,15 +160,20 @@
         sock: socket.socket,
         front: UwsgiFrontendConfig,
         random: Random,
+        new_connections: RequestSource,
         load_report: Callable[[], str] | None = None,
     ) -> None:
-        """Attempt ids are drawn from ``random``; ``load_report`` renders the X-Load header, if it is to be sent."""
+        """Attempt ids are drawn from ``random``; ``load_report`` renders the X-Load header, if it is to be sent.
+
+        ``new_connections`` is the record that the new connections of this frontend share.
+        """
         self.host = host
         self.front = front
         self.conn = Connection(host.loop, sock, self._ended)
         self.awaiting_since: float | None = host.loop.now  # since when the request is awaited; None once it is read
         self._random = random
         self._load_report = load_report
+        self._source = RequestSource(host.loop.now, new_connections)
         self._parser = proto.RequestParser(VARIABLES)
         self._request: Request | None = None
         self._open = False  # whether the request was submitted and is not answered
@@ -217,7 +229,7 @@
             self._cancel_and_close(ConnectionEnd.PEER_CLOSED)
             return
         attempt_id = f"{self._random.getrandbits(64):016x}"
-        submitted = submission(request, self.host.classes, self.front, attempt_id, time.time())
+        submitted = submission(request, self.host.classes, self.front, attempt_id, time.time(), self._source)
         self.host.counters.add("uwsgi", "requests")
         if broker is None:
             self.host.counters.add(THROTTLED, class_name(request, self.front))
--- a/lapishaven/server/server.py
+++ b/lapishaven/server/server.py
@@ -19,6 +19,7 @@
 from lapishaven.core.execution_guard import max_names
 from lapishaven.core.peer_effects import PeerEffects
 from lapishaven.core.ports import DurableResultStore, EffectLog, FleetMember
+from lapishaven.core.source_fairness import RequestSource
 from lapishaven.counters import Counters
 from lapishaven.frontends import Session, platform, uwsgi
 from lapishaven.net.connection import Dial, connect
@@ -130,8 +131,10 @@
         """Build the callers' listeners: first the platform protocol's, then the uwsgi frontend's if it is enabled."""
         config = files.config
 
+        new_connections = RequestSource.shared()
+
         def platform_session(sock: socket.socket) -> Session:
-            return platform.Session(self, sock)
+            return platform.Session(self, sock, new_connections)
 
         self.listeners = [self._listen(config.listen, platform_session, config.inherited_fd)]
         if config.inherited_fd is not None:
@@ -145,7 +148,12 @@
         # The seed differs in every process: the interpreter still knows the attempt ids of earlier processes.
         random = Random(f"{config.seed}/{os.getpid()}/{time.time_ns()}")
         load_report = self.load_endpoint.header_value if self.load_endpoint is not None else None
-        return self._listen(front.listen, lambda sock: uwsgi.Session(self, sock, front, random, load_report))
+        new_connections = RequestSource.shared()
+
+        def uwsgi_session(sock: socket.socket) -> Session:
+            return uwsgi.Session(self, sock, front, random, new_connections, load_report)
+
+        return self._listen(front.listen, uwsgi_session)
 
     def _listen(
         self, address: tuple[str, int], create_session: Callable[[socket.socket], Session], inherited: int | None = None
