Count a connection for eight callers at most

Cause: the admission module takes many callers for a crowd, in which it cuts the idle timeout, and keeps an entry for each; one connection could name any number.

Change: RequestSource.bounded_caller: beyond eight numbers a connection's requests count for its first caller. Bills keep the number of the request.

Tests: test_new_names_on_one_connection_are_no_crowd fails without the change (idle timeout 0.1 instead of 15.0) and passes with it, 12 of 12 in its file.

--- a/lapishaven/core/source_fairness.py
+++ b/lapishaven/core/source_fairness.py
@@ -24,6 +24,7 @@
 FLOOD_PER_CORE = 32.0  # requests a second that a source may send for each core of the backend, whatever is served
 FLOOD_PER_SERVED = 4.0  # the same for each request that was served in the last second, for fast backends
 MAX_CORES_SHARE = 0.5  # of the backend's cores that may be in use when a limited source opens a request
+MAX_CALLERS = 8  # that one connection may speak for; a caller's requests bear its one number
 RETRY_AFTER_S = WINDOW_S  # after which a source that has stopped flooding is not limited any more
 
 
@@ -76,12 +77,26 @@
     open_requests: dict[int, Request] = field(default_factory=dict)  # by request id, oldest first
     is_limited: bool = False
     is_shared: bool = False
+    callers: set[int] = field(default_factory=set)  # numbers of callers that it has named, ``MAX_CALLERS`` at most
+    first_caller: int | None = None
 
     @classmethod
     def shared(cls) -> RequestSource:
         """The record that the new connections of one frontend share."""
         return cls(0.0, None, is_shared=True)
 
+    def bounded_caller(self, caller_id: int) -> int:
+        """The caller that a request counts for: the one it names, or the first one if the connection names too many.
+
+        The controller keeps an entry for each caller and takes many callers for a crowd, in which it has all idle
+        connections closed early. One connection must not bring that about by names that are new each time.
+        """
+        if self.first_caller is None:
+            self.first_caller = caller_id
+        if len(self.callers) < MAX_CALLERS:
+            self.callers.add(caller_id)
+        return caller_id if caller_id in self.callers else self.first_caller
+
     def records(self, now: float) -> tuple[RequestSource, ...]:
         """The records to which a request that arrives now belongs."""
         if self.new_connections is None or now - self.opened_at >= NEW_CONNECTION_S:
--- a/lapishaven/core/submission_intake.py
+++ b/lapishaven/core/submission_intake.py
@@ -191,13 +191,14 @@
     def _queue_arrival(self, now: float, request: Request, has_own_deadline: bool) -> None:
         """Queue the arrival event of a request for the controller."""
         submission = request.submission
+        source = submission.source
         self._events.append(
             RequestArrived(
                 request_id=request.request_id,
                 memory_kb=submission.memory_kb,
                 tenant_index=submission.tenant_index,
                 deadline=request.deadline if has_own_deadline else None,
-                caller_id=submission.caller_id,
+                caller_id=submission.caller_id if source is None else source.bounded_caller(submission.caller_id),
                 age=now - request.arrived_at,
                 is_retry=submission.is_retry,
                 is_write=submission.is_write,
--- a/tests/test_source_fairness.py
+++ b/tests/test_source_fairness.py
@@ -174,6 +174,18 @@
         self.assertNotIn("refused 1", self.answers("c2"))
         self.assertGreater(self.server.counters.groups["reasons"]["too many requests on one connection"], 40)
 
+    # Guards against idle connections of all callers being closed after a tenth of a second, as one connection names a
+    # new caller in each request and the controller takes them for a crowd.
+    def test_new_names_on_one_connection_are_no_crowd(self) -> None:
+        before = self.server.callers.idle_timeout
+        for _ in range(100):
+            self.flood(2, "fuzzy-match")
+            for label in list(self.vm.handles):
+                self.vm.end("OK", label)
+            self.wait(0.025)
+        self.assertGreater(len(self.vm.applied), 150)
+        self.assertEqual(self.server.callers.idle_timeout, before)
+
     # Guards against an answer that is lost, or two of them, where queued requests are given up.
     def test_each_request_of_the_flood_gets_one_answer(self) -> None:
         self.play("send c2 1 fuzzy-match")
