Do not run requests that were unread when their client closed

Cause: the kernel gives the bytes before a reset or a FIN while they are unread; the connection learnt of the end behind the last of them alone.

Change: on callers' connections an error event ends the connection before anything more is read. EPOLLRDHUP tells of a FIN together with the bytes before it: the notice that tells a full close from a half-close is written before they are processed, 10 ms later unless a reset came. The uwsgi frontend drops its request at once. Backends' connections still read what came before a reset.

Tests: three new ones in test_closing.py, which find the requests run without the change and nothing run with it. Two tests of half-closed callers let the clock, which stands still in them, pass the 10 ms; they expect what they did.

--- a/lapishaven/frontends/platform.py
+++ b/lapishaven/frontends/platform.py
@@ -19,6 +19,7 @@
 
 MAX_OPEN_REQUESTS = 64  # on one connection, though the protocol allows callers 32; more are answered with an error
 MESSAGES_PER_ROUND = 16  # of one connection, in one round of the loop, so that a flood on one does not delay others
+CLOSE_PROBE_S = 0.01  # for the reset of a peer that has closed; many round trips on the platform's network
 NOT_UP_RETRY_AFTER_S = 1.0  # Retry-After until the backend is up
 
 
@@ -32,12 +33,13 @@
     def __init__(self, host: Host, sock: socket.socket, new_connections: RequestSource) -> None:
         """``new_connections`` is the record that the new connections of this frontend share."""
         self.host = host
-        self.conn = Connection(host.loop, sock, self._ended)
+        self.conn = Connection(host.loop, sock, self._ended, serves_peer=True)
         self.open: dict[int, Request | None] = {}  # by JSON-RPC id; None: a health check or a request being submitted
         self.awaiting_since: float | None = host.loop.now  # loop time since which an incomplete message is awaited
         self._source = RequestSource(host.loop.now, new_connections)
         self._parser = jsonrpc.ServerParser()
         self._ids_by_attempt: dict[str, int] = {}  # JSON-RPC ids by the caller's attempt id
+        self._has_probed = False  # whether a peer that has shut down its sending direction was sent something
         self._feeding = False  # whether messages that were read are still being processed
         self._closing_as: ConnectionEnd | None = None  # the end to close with once no request is open
         if host.draining:
@@ -75,6 +77,9 @@
             for count, message in enumerate(self._parser.feed(data), 1):
                 if count % MESSAGES_PER_ROUND == 0:
                     yield self.host.loop.next_round()
+                if self.conn.peer_finished and not self._has_probed:
+                    self._probe()
+                    yield Wait(CLOSE_PROBE_S)
                 if self.conn.end is not None:
                     return False
                 self._process(message)
@@ -95,14 +100,23 @@
     def _input_ended(self, end: ConnectionEnd) -> None:
         """Handle the end of the peer's input: a half-close, whose peer awaits its answers, or a full close.
 
-        Writing shows which one it is, as a peer that has closed fully answers with a reset. The draining notice is
-        written for that purpose: it does no harm, as the peer can send no further request on this connection anyway.
+        A peer that was not probed before its last requests were read is probed now if any is open.
         """
         if self.open and end is ConnectionEnd.PEER_CLOSED:
             self.host.counters.add("platform", "half-closed with requests open")
-            self.conn.write(jsonrpc.DRAINING_NOTICE)
+            if not self._has_probed:
+                self._probe()
         self.close_gracefully(end)
 
+    def _probe(self) -> None:
+        """Write something, to which a peer that has closed fully, and not only half, answers with a reset.
+
+        The draining notice does no harm, as the peer can send no further request on this connection anyway.
+        """
+        self._has_probed = True
+        self.conn.write(jsonrpc.DRAINING_NOTICE)
+        self.conn.flush()
+
     def _process(self, message: jsonrpc.Message) -> None:
         if isinstance(message, jsonrpc.RunRequest):
             self._serve(message)
--- a/lapishaven/frontends/uwsgi.py
+++ b/lapishaven/frontends/uwsgi.py
@@ -169,7 +169,7 @@
         """
         self.host = host
         self.front = front
-        self.conn = Connection(host.loop, sock, self._ended)
+        self.conn = Connection(host.loop, sock, self._ended, serves_peer=True)
         self.awaiting_since: float | None = host.loop.now  # since when the request is awaited; None once it is read
         self._random = random
         self._load_report = load_report
--- a/lapishaven/net/connection.py
+++ b/lapishaven/net/connection.py
@@ -33,8 +33,16 @@
     received, and later writes are still sent. ``on_end`` is called once, after the descriptor has been closed.
     """
 
-    def __init__(self, loop: Loop, sock: socket.socket, on_end: Callable[[ConnectionEnd], None]) -> None:
+    def __init__(
+        self, loop: Loop, sock: socket.socket, on_end: Callable[[ConnectionEnd], None], serves_peer: bool = False
+    ) -> None:
+        """With ``serves_peer``, input is requests of the peer, and worthless once it can receive no more.
+
+        So nothing is read after a reset, and ``peer_finished`` tells of a half-close before all input has been read.
+        """
         self.loop, self.sock, self._on_end = loop, sock, on_end
+        self._serves_peer = serves_peer
+        self.peer_finished = False  # with ``serves_peer``: the peer has shut down its sending direction
         self.receive_buffer, self.send_buffer = RingBuffer(RECEIVE_BUFFER_LIMIT), RingBuffer(SEND_BUFFER_LIMIT)
         self.end: ConnectionEnd | None = None  # the reason of the end, once ``abort`` was called
         self.sent = 0  # bytes that the kernel has accepted so far
@@ -79,6 +87,11 @@
         self._update_interest()
 
     def _on_events(self, mask: int) -> None:
+        if self._serves_peer and mask & select.EPOLLERR:
+            return self.abort(ConnectionEnd.RESET)
+        if mask & select.EPOLLRDHUP:
+            self.peer_finished = True
+            self._update_interest()
         if mask & select.EPOLLOUT:
             self.flush()
         if self.end is not None or not mask & (select.EPOLLIN | ERROR_EVENTS):
@@ -127,13 +140,14 @@
         reading = self._discarding or self._reader is not None and self.send_buffer.size < SEND_HIGH_WATER_MARK
         events = select.EPOLLIN if reading and not self._peer_half_closed else 0
         events |= select.EPOLLOUT if self.send_buffer.size else 0
+        events |= select.EPOLLRDHUP if self._serves_peer and not self.peer_finished else 0
         if events != self._watched_events:
             self._watched_events = events
             self.loop.watch(self.sock.fileno(), events, self._on_events)
 
     def peer_has_closed(self) -> bool:
-        """Whether the peer has closed its side and all that it sent was read."""
-        if self.end is not None or self._peer_half_closed:
+        """Whether the peer has closed its side and all that it sent was read, or that is known before."""
+        if self.end is not None or self._peer_half_closed or self.peer_finished:
             return True
         try:
             return not self.sock.recv(1, socket.MSG_PEEK)
@@ -241,9 +255,9 @@
         if self._linger_timer is not None:
             self._linger_timer.cancel()
         # Buffers are released here because other objects may keep references to an ended connection. Bytes that were
-        # received before the end stay available to the reader.
+        # received before the end stay available to the reader, unless the peer awaited answers to them.
         self.send_buffer = RingBuffer(0)
-        if self.closing is not None or not self.receive_buffer.size:
+        if self._serves_peer or self.closing is not None or not self.receive_buffer.size:
             self.receive_buffer = RingBuffer(0)
         self.loop.unwatch(self.sock.fileno())
         self.sock.close()
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -139,6 +139,8 @@
         caller = self.connect()
         self.send(caller, self.message("t1", "1", "fuzzy-match"), self.message("t1", "2", "approve-commit"))
         caller.sock.shutdown(socket.SHUT_WR)
+        self.round()
+        self.wait(platform.CLOSE_PROBE_S)
         self.until(lambda: "t1.2" in self.vm.handles, "the runs of t1.1 and t1.2")
         self.vm.end("OK", "t1.1")
         self.vm.end("OK", "t1.2")
@@ -156,6 +158,7 @@
         self.round()
         self.assertEqual((session._feeding, session.open), (True, {}), "the session should wait for its next round")
         self.server.callers.close_gracefully()  # messages that were read are processed even so
+        self.wait(platform.CLOSE_PROBE_S)
         self.until(lambda: "t1.3" in self.vm.handles, "the run of t1.3")
         for n in (1, 2, 3):
             self.vm.end("OK", f"t1.{n}")
@@ -173,6 +176,39 @@
         self.until(lambda: not self.server.broker.requests, "an empty request table")
         self.assertEqual(self.server.budget.used, 0)
 
+    # Guards against requests that are sent on after their caller has closed, because they were not read before.
+    def test_requests_that_were_not_read_before_a_full_close_are_not_run(self) -> None:
+        caller = self.connect()
+        session = self.of(caller)
+        self.send(caller, *(self.message("t1", str(n), "approve-commit", f"key=k{n}") for n in range(1, 40)))
+        caller.sock.close()
+        self.round()
+        self.wait(platform.CLOSE_PROBE_S)
+        self.until(lambda: session.conn.end is not None, "the end of the connection")
+        self.assertEqual((self.vm.handles, self.server.broker.requests), ({}, {}))
+
+    # Guards against the same after a reset: the kernel still gives the bytes that came before it.
+    def test_requests_that_were_not_read_before_a_reset_are_not_run(self) -> None:
+        caller = self.connect()
+        session = self.of(caller)
+        self.send(caller, *(self.message("t1", str(n), "approve-commit", f"key=k{n}") for n in range(1, 40)))
+        reset(caller.sock)
+        self.until(lambda: session.conn.end is not None, "the end of the connection after its reset")
+        self.assertEqual((self.vm.handles, self.server.broker.requests), ({}, {}))
+
+    # Guards against a uwsgi request that is run though its client has closed, as bytes behind it hide the close.
+    def test_a_uwsgi_request_with_more_behind_it_is_not_run_after_a_close(self) -> None:
+        sock = socket.create_connection(self.server.listeners[1].address)
+        self.until(lambda: self.server.callers.sessions, "the accept")
+        session = self.session()
+        data = self.message("u1", "approve-commit", "id=k") + b"m" * 20_000
+        sock.sendall(data)
+        wait_for(lambda: buffered(session.conn.sock) == len(data), "the request in the kernel's buffer")
+        sock.close()
+        self.until(lambda: not self.server.callers.sessions, "the end of the connection")
+        self.assertEqual(self.vm.handles, {})
+        self.assertEqual(self.server.counters.groups["uwsgi"]["given up before it was read"], 1)
+
     def test_reset_with_unread_requests_releases_everything(self) -> None:
         caller = self.connect()
         self.send(caller, *(self.message("t1", str(n), "fuzzy-match") for n in range(1, 40)))
