Bound the memory of open requests by the process's own limit

Callers saw: with hundreds of connections of 64 requests each, whose callers booked next to no memory for bodies of 2 KiB, the process grew to 90 MB.

Cause: open requests were bounded by what their callers book for the interpreter, which is their word, and by connection.

Change: they may take an eighth of limits.memory_mb, by an estimate of 4 KiB and the body; beyond it new ones are refused at once with a time to return. Repeats of what runs or ran are not.

--- a/lapishaven/core/broker.py
+++ b/lapishaven/core/broker.py
@@ -41,6 +41,7 @@
 from lapishaven.counters import Counters
 
 DEFAULT_MEMORY_BYTES = 64 * 1024 * 1024
+OPEN_REQUESTS_DIVISOR = 8  # open requests may take 1/8 of the memory
 STORED_RESULTS_DIVISOR = 16  # results stored for duplicates may take 1/16 of the memory
 
 
@@ -116,7 +117,9 @@
         durable = DurableExecution(result_store, state, self._lifecycle) if result_store is not None else None
         self._runs = RunControl(state, self._lifecycle, durable)
         self._executor = ActionExecutor(state, self._lifecycle, self._runs, self._load_sampling, listener)
-        self._intake = SubmissionIntake(state, self._lifecycle, durable, contracts, backend, routes or {})
+        self._intake = SubmissionIntake(
+            state, self._lifecycle, durable, contracts, backend, routes or {}, memory // OPEN_REQUESTS_DIVISOR
+        )
 
     @property
     def settings(self) -> Settings:
--- a/lapishaven/core/request_table.py
+++ b/lapishaven/core/request_table.py
@@ -5,12 +5,18 @@
 import random
 from heapq import heappop, heappush
 
-from lapishaven.core.requests import Request
+from lapishaven.core.requests import Request, Submission
 
 ID_COUNT = 1 << 32  # request ids are u32
+REQUEST_BYTES = 4096  # memory that an open request takes in all components, besides its body
 ABANDON_AFTER_S = 60.0  # time after its deadline at which a run whose end was never reported is removed
 
 
+def memory_of(submission: Submission) -> int:
+    """Estimate of the bytes of this process's memory that a submission takes while it is open."""
+    return REQUEST_BYTES + len(submission.body)
+
+
 class RequestTable:
     """Requests from their arrival until they have been answered or cancelled and no longer run.
 
@@ -21,6 +27,7 @@
         """``seed`` determines the first request id."""
         self.requests: dict[int, Request] = {}  # by request id
         self.by_attempt: dict[str, Request] = {}  # by attempt id
+        self.held_bytes = 0  # estimate of the memory that they take
         self._last_id = random.Random(seed).randrange(ID_COUNT)
         self._deadlines: list[tuple[float, int]] = []  # heap of (time, request id)
         self._abandonments: list[tuple[float, int]] = []  # heap of (time, request id)
@@ -29,11 +36,13 @@
         """Add a request under its request and attempt id."""
         self.requests[request.request_id] = request
         self.by_attempt[request.submission.attempt_id] = request
+        self.held_bytes += memory_of(request.submission)
 
     def remove(self, request: Request) -> None:
         """Remove a request that is in the table."""
         del self.requests[request.request_id]
         del self.by_attempt[request.submission.attempt_id]
+        self.held_bytes -= memory_of(request.submission)
 
     def new_id(self) -> int:
         """A request id that is not in the table; never 0."""
--- a/lapishaven/core/submission_intake.py
+++ b/lapishaven/core/submission_intake.py
@@ -11,6 +11,7 @@
 from lapishaven.core.idempotency_keys import EffectKey
 from lapishaven.core.ports import Backend, Reply
 from lapishaven.core.request_lifecycle import KEY_OF_ANOTHER_REQUEST, NEVER_RAN_RETRY_AFTER_S, RequestLifecycle
+from lapishaven.core.request_table import memory_of
 from lapishaven.core.requests import Answer, AnswerKind, Request, RequestState, Submission
 from lapishaven.core.source_fairness import RETRY_AFTER_S as FLOOD_RETRY_AFTER_S
 from lapishaven.core.source_fairness import RequestSource
@@ -19,12 +20,15 @@
     AnswerKind.REJECTED, reason="too many requests on one connection", retry_after=FLOOD_RETRY_AFTER_S
 )
 """The answer to a request of a source that floods the server."""
+OUT_OF_MEMORY = Answer(AnswerKind.REJECTED, reason="too many open requests", retry_after=NEVER_RAN_RETRY_AFTER_S)
+"""The answer to a request that this process has no memory for."""
 
 
 class SubmissionIntake:
     """Checks each submission.
 
-    In this order: shutdown, known attempt, key with another body, contract, stored result, fairness between sources.
+    In this order: shutdown, known attempt, key with another body, contract, stored result, then whether there is room
+    for it: fairness between sources and this process's memory.
 
     A submission that passes is added to the table, and its arrival is reported to the controller.
     """
@@ -37,8 +41,11 @@
         contracts: Contracts | None,
         default_backend: Backend,
         routes: Mapping[str, Backend],
+        memory_limit: int,
     ) -> None:
-        """``contracts`` is ``None`` if no contracts are checked, ``durable`` if no result store is configured.
+        """Open requests may take ``memory_limit`` bytes of this process, whatever memory callers book for them.
+
+        ``contracts`` is ``None`` if no contracts are checked, ``durable`` if no result store is configured.
 
         ``routes`` maps the route names in contracts to backends.
         """
@@ -55,6 +62,7 @@
         self._contracts = contracts
         self._default_backend = default_backend
         self._routes = routes
+        self._memory_limit = memory_limit
 
     def replace_contracts(self, contracts: Contracts | None) -> None:
         """Apply reloaded contracts, keeping the budgets of those that remain, if contracts were checked before."""
@@ -85,9 +93,10 @@
         if stored_answer is not None:
             self._lifecycle.send(submission, reply, stored_answer)
             return None
-        if original is None and peer_effect is None and not self._may_open(now, submission):
-            self._counters.add("reasons", SOURCE_FLOODS.reason)
-            self._lifecycle.send(submission, reply, SOURCE_FLOODS)
+        refusal = self._find_refusal(now, submission) if original is None and peer_effect is None else None
+        if refusal is not None:
+            self._counters.add("reasons", refusal.reason)
+            self._lifecycle.send(submission, reply, refusal)
             return None
         request = self._add_request(now, submission, reply, contract)
         if original is not None:
@@ -135,7 +144,7 @@
             return None
         return self._durable.find_answer(submission)
 
-    # ---- Fairness between sources
+    # ---- Room
     def record_arrival(self, now: float, source: RequestSource | None) -> None:
         """Count an arrival, and give up what sources that flood the server have queued."""
         if source is None:
@@ -146,12 +155,16 @@
                 self._counters.add("reasons", SOURCE_FLOODS.reason)
                 self._lifecycle.give_up(request, SOURCE_FLOODS)
 
-    def _may_open(self, now: float, submission: Submission) -> bool:
-        """Whether a submission may be added; what has run before is not rejected."""
-        if submission.source is None or self._guard.is_known_effect(submission):
-            return True
-        cores = self._settings.current.cores
-        return self._fairness.may_open(now, submission.source, len(self._table.requests), cores)
+    def _find_refusal(self, now: float, submission: Submission) -> Answer | None:
+        """The answer to a submission for which there is no room; ``None`` if there is, or if its effect ran before."""
+        if self._guard.is_known_effect(submission):
+            return None
+        if self._table.held_bytes + memory_of(submission) > self._memory_limit:
+            return OUT_OF_MEMORY
+        cores, source = self._settings.current.cores, submission.source
+        if source is not None and not self._fairness.may_open(now, source, len(self._table.requests), cores):
+            return SOURCE_FLOODS
+        return None
 
     # ---- Adding to the table
     def _add_request(self, now: float, submission: Submission, reply: Reply, contract: Contract | None) -> Request:
