Bound the messages of all connections in a round of the loop

Callers saw: answers up to 4.6 s late beside 450 connections of 64 requests each.

Cause: a round took 16 messages of every connection, 7,200 of 450, before the core could reject any, and all other answers waited for its end.

Change: MessageTurns: the more connections have messages waiting, the fewer each may process in a round, 256 in all and one at the least. A connection alone has its 16 (15 in its first round before).

Without the change a round of 100 connections takes 1,600 messages; with it at most 256.

--- a/lapishaven/frontends/platform.py
+++ b/lapishaven/frontends/platform.py
@@ -19,10 +19,32 @@
 
 MAX_OPEN_REQUESTS = 64  # on one connection, though the protocol allows callers 32; more are answered with an error
 MESSAGES_PER_ROUND = 16  # of one connection, in one round of the loop, so that a flood on one does not delay others
+TOTAL_MESSAGES_PER_ROUND = 256  # of all connections, where each has more than one; some tens of milliseconds
 CLOSE_PROBE_S = 0.01  # for the reset of a peer that has closed; many round trips on the platform's network
 NOT_UP_RETRY_AFTER_S = 1.0  # Retry-After until the backend is up
 
 
+class MessageTurns:
+    """How many messages each connection may process in one round of the loop.
+
+    A round takes as long as the messages of all connections, and what they open in it is held before the core can
+    reject any of it. So the more connections have messages waiting, the fewer each may process; one at the least.
+    """
+
+    def __init__(self) -> None:
+        self.waiting = 0  # connections with messages that were read and not processed
+        self._round_at = 0.0
+        self._waiting_before = 0  # as the round began
+
+    def per_connection(self, round_at: float) -> int:
+        """Messages of one connection in the round of the loop that began at ``round_at``."""
+        if round_at != self._round_at:
+            self._round_at = round_at
+            self._waiting_before = self.waiting
+        waiting = max(1, self.waiting, self._waiting_before)
+        return max(1, min(MESSAGES_PER_ROUND, TOTAL_MESSAGES_PER_ROUND // waiting))
+
+
 class Session:
     """One caller's connection.
 
@@ -30,9 +52,10 @@
     ``docs/design/closing.md``.
     """
 
-    def __init__(self, host: Host, sock: socket.socket, new_connections: RequestSource) -> None:
-        """``new_connections`` is the record that the new connections of this frontend share."""
+    def __init__(self, host: Host, sock: socket.socket, new_connections: RequestSource, turns: MessageTurns) -> None:
+        """All sessions share ``turns``, and the new ones the record ``new_connections``."""
         self.host = host
+        self._turns = turns
         self.conn = Connection(host.loop, sock, self._ended, serves_peer=True)
         self.open: dict[int, Request | None] = {}  # by JSON-RPC id; None: a health check or a request being submitted
         self.awaiting_since: float | None = host.loop.now  # loop time since which an incomplete message is awaited
@@ -73,10 +96,14 @@
     def _feed(self, data: bytes) -> Generator[Wait, Any, bool]:
         """Process the messages that ``data`` completes; returns false if the connection ended before one of them."""
         self._feeding = True
+        self._turns.waiting += 1
+        left = self._turns.per_connection(self.host.loop.now)
         try:
-            for count, message in enumerate(self._parser.feed(data), 1):
-                if count % MESSAGES_PER_ROUND == 0:
+            for message in self._parser.feed(data):
+                if not left:
                     yield self.host.loop.next_round()
+                    left = self._turns.per_connection(self.host.loop.now)
+                left -= 1
                 if self.conn.peer_finished and not self._has_probed:
                     self._probe()
                     yield Wait(CLOSE_PROBE_S)
@@ -87,6 +114,7 @@
             self.conn.write(jsonrpc.encode_error(None, jsonrpc.PARSE_ERROR, str(error)))
             self._closing_as = ConnectionEnd.TOO_LARGE
         finally:
+            self._turns.waiting -= 1
             self._feeding = False
         return True
 
--- a/lapishaven/server/server.py
+++ b/lapishaven/server/server.py
@@ -133,8 +133,10 @@
 
         new_connections = RequestSource.shared()
 
+        turns = platform.MessageTurns()
+
         def platform_session(sock: socket.socket) -> Session:
-            return platform.Session(self, sock, new_connections)
+            return platform.Session(self, sock, new_connections, turns)
 
         self.listeners = [self._listen(config.listen, platform_session, config.inherited_fd)]
         if config.inherited_fd is not None:
