Test ids that come again after their client left, at the other process of an upgrade

Change: a test in test_shared_effects.py: 20 commits under keys, the connection is reset at once, after 0.02 and after 0.2 s, all come again to the other process under the same keys, and the old one gets SIGTERM: none runs twice, none that ran is refused.

--- a/tests/test_shared_effects.py
+++ b/tests/test_shared_effects.py
@@ -353,6 +353,32 @@
     play(script)
 
 
+# Guards against an id that runs twice as it comes again after its client has left: the run is stopped, or still queued,
+# in the one process, and the same ids come to the other (picture c of the operators' letter).
+@pytest.mark.parametrize("effect", ["guarded", "single_shot"])
+@pytest.mark.parametrize("left_after_s", [0.0, 0.02, 0.2])
+def test_ids_of_a_client_that_left_do_not_run_again_in_the_other_process(effect: str, left_after_s: float) -> None:
+    async def script(upgrades: Upgrades) -> None:
+        old = await upgrades.start("old")
+        first = await upgrades.connect(old)
+        second = await upgrades.connect(await upgrades.start("new"))
+        bodies = [f"body {n}" for n in range(20)]  # more than run at once
+        for body in bodies:
+            first.send(body, body)
+        await asyncio.sleep(left_after_s)
+        first.writer.transport.abort()
+        repeats = [second.send(body, body) for body in bodies]
+        await asyncio.sleep(0.05)
+        upgrades.terminate(old)
+        replies = await asyncio.wait_for(asyncio.gather(*repeats), DEADLINE_S + SLACK_S)
+        commits = upgrades.commits()
+        assert len(commits) == len(set(commits)), "a commit ran twice"
+        answered = [body for body, reply in zip(bodies, replies, strict=True) if served(reply) or failed(reply)]
+        assert set(commits) <= set(answered), "what ran was called refused"
+
+    play(script, effect)
+
+
 # Guards attempts without a key: the same attempt, sent again on another connection, must not run in another process.
 def test_an_attempt_is_known_in_the_other_process() -> None:
     async def script(upgrades: Upgrades) -> None:
