Bound the ledger's results in memory by their bytes

Cause: the cache counted entries.

Change: a sixteenth of limits.memory_mb; older results are read from the file.

--- a/lapishaven/cli/serve.py
+++ b/lapishaven/cli/serve.py
@@ -19,6 +19,7 @@
     from lapishaven.ownership.participant import Participant
 
 BYTES_PER_MB = 1024 * 1024
+RESULT_CACHE_DIVISOR = 16  # results that the ledger keeps in memory may take 1/16 of the limit
 # A file given with ``--record`` is the settings file of the ledger if it has this suffix, else the SQLite file of the
 # attempt log.
 LEDGER_SETTINGS_SUFFIX = ".toml"
@@ -89,7 +90,7 @@
     return DurableResults(store, rules.result_ttl_s, rules.max_results)
 
 
-def _open_ledger(path: str, server_name: str) -> Recorder:
+def _open_ledger(path: str, server: config.NodeConfig) -> Recorder:
     """Open the ledger that the file ``path`` configures, under a new incarnation (the id of this process)."""
     import os
     import time
@@ -100,7 +101,8 @@
 
     try:
         settings = load_settings(path)
-        incarnation = f"{server_name}:{os.getpid()}:{time.time_ns()}"
+        incarnation = f"{server.name}:{os.getpid()}:{time.time_ns()}"
+        cache_bytes = server.memory_mb * BYTES_PER_MB // RESULT_CACHE_DIVISOR
         database = LedgerDatabase(settings.file)
         if not database.is_open:
             typer.echo(
@@ -108,7 +110,8 @@
                 f" are rejected until it is free, each try to open it waits up to {BUSY_TIMEOUT_S:g} s",
                 err=True,
             )
-        return Recorder(database, incarnation, settings.meters, settings.default_meter, settings.backpressure)
+        meters, default_meter = settings.meters, settings.default_meter
+        return Recorder(database, incarnation, meters, default_meter, settings.backpressure, cache_bytes)
     except (LedgerSettingsError, LedgerError) as error:
         fail(str(error))
 
@@ -132,12 +135,12 @@
     result_store: DurableResultStore | None = None
 
 
-def _open_stores(record: str | None, storage: str | None, server_name: str, counters: Counters) -> Stores:
+def _open_stores(record: str | None, storage: str | None, server: config.NodeConfig, counters: Counters) -> Stores:
     stores = Stores()
     if record is not None and record.endswith(LEDGER_SETTINGS_SUFFIX):
         if storage is not None:
             fail(f"--storage {storage} and --record {record} both configure a result store, only one is allowed")
-        stores.result_store = _open_ledger(record, server_name)
+        stores.result_store = _open_ledger(record, server)
     elif record is not None:
         stores.attempt_log = _open_attempt_log(record, counters)
     if storage is not None:
@@ -178,7 +181,7 @@
     signals = Signals()  # first, so that no signal is lost once callers can connect
     files = _load_files(path, uwsgi, contracts, pools, spread)
     counters = Counters()
-    stores = _open_stores(record, storage, files.config.name, counters)
+    stores = _open_stores(record, storage, files.config, counters)
     fleet = _join_fleet(ownership, files) if ownership is not None else None
     options = ServerOptions(
         counters=counters,
--- a/lapishaven/ledger/recorder.py
+++ b/lapishaven/ledger/recorder.py
@@ -18,6 +18,8 @@
 from lapishaven.net.completion_queue import CompletionQueue
 
 MAX_CACHED_RESULTS = 20_000  # answered from memory; older ones are read from the file
+DEFAULT_CACHE_BYTES = 8 * 1024 * 1024
+ENTRY_BYTES = 512  # memory that a cached result takes besides its bytes
 CLOSE_TIMEOUT_S = 0.1  # short, as the process is killed soon after shutdown begins
 
 EffectId = tuple[str, str]  # class and idempotency key
@@ -41,6 +43,7 @@
         meters: the meter of each class that has one of its own. A meter counts the words that an effect is charged.
         default_meter: the meter of all other classes.
         rules: limits of the queue of entries that wait to be written.
+        cache_bytes: memory that results may take which are answered without reading the file.
         wall: clock that gives Unix seconds.
         clock: monotonic clock in seconds.
 
@@ -59,6 +62,7 @@
         meters: Mapping[str, Meter],
         default_meter: Meter,
         rules: BackpressureRules | None = None,
+        cache_bytes: int = DEFAULT_CACHE_BYTES,
         wall: Callable[[], float] = time.time,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -73,6 +77,8 @@
         self._writer = Writer(database, self._group_settled)
         self._completions = CompletionQueue()
         self._cached_results: OrderedDict[EffectId, KnownResult] = OrderedDict()
+        self._cache_limit = cache_bytes
+        self._cached_bytes = 0  # estimate of the memory that they take
         self._running: dict[EffectId, Submission] = {}  # intended by this incarnation, without an outcome yet
         self.rejected = 0
         self.completed_elsewhere = 0
@@ -204,6 +210,11 @@
             self._backpressure.entries_settled(self._clock(), count, durable)
 
     def _cache_result(self, effect_id: EffectId, known: KnownResult) -> None:
+        before = self._cached_results.pop(effect_id, None)
+        if before is not None:
+            self._cached_bytes -= ENTRY_BYTES + len(before.result)
         self._cached_results[effect_id] = known
-        while len(self._cached_results) > MAX_CACHED_RESULTS:
-            self._cached_results.popitem(last=False)
+        self._cached_bytes += ENTRY_BYTES + len(known.result)
+        while len(self._cached_results) > MAX_CACHED_RESULTS or self._cached_bytes > self._cache_limit:
+            _, evicted = self._cached_results.popitem(last=False)
+            self._cached_bytes -= ENTRY_BYTES + len(evicted.result)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import threading
+import time
 from collections import Counter
 from collections.abc import Callable
 from contextlib import closing
@@ -20,6 +21,8 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
+from lapishaven.core.ports import IntentOutcome
+from lapishaven.core.requests import Submission
 from lapishaven.lab import modelcheck
 from lapishaven.lab.field import ProcessHarness
 from lapishaven.lab.field.tier import Call, Tier
@@ -28,6 +31,8 @@
 from lapishaven.ledger.audit import Charge, Effect, differences
 from lapishaven.ledger.backpressure import Backpressure, BackpressureRules
 from lapishaven.ledger.database import REVENUE_ACCOUNT, LedgerDatabase, LedgerError, Operation
+from lapishaven.ledger.metering import METERS
+from lapishaven.ledger.recorder import Recorder
 from lapishaven.ledger.settings import FLOW_KEYS, LedgerSettingsError, load_settings
 from lapishaven.ledger.transitions import Decision, EffectEvent, EffectRow, EffectState, decide
 
@@ -264,6 +269,37 @@
     assert subprocess.run(command, cwd=ROOT, capture_output=True, check=False).returncode == 2  # the CSV file exists
 
 
+def test_results_in_memory_are_bounded_by_their_bytes(tmp_path: Path) -> None:
+    """Guards against memory that grows with every commit up to a count of results, whatever their size: 20,000 of 4 KiB
+    take 80 MB. The latest are answered from memory, the others from the file."""
+    limit, result = 64 * 1024, bytes(4000)
+    recorder = Recorder(LedgerDatabase(str(tmp_path / "r.db")), "start", {}, METERS["each"], cache_bytes=limit)
+
+    def run(key: str) -> None:
+        settled: list[object] = []
+        submission = Submission(key, 0, b"body", 1.0, idempotency_key=key)
+        recorder.record_intent("c", key, submission, settled.append)
+        wait_until_settled(recorder, settled, 1)
+        recorder.record_result("c", key, result, settled.append)
+        wait_until_settled(recorder, settled, 2)
+        assert settled == [IntentOutcome.RECORDED, True]
+
+    for number in range(40):
+        run(f"k{number}")
+    known = [number for number in range(40) if recorder.find("c", f"k{number}").result == result]
+    assert known == list(range(40 - len(known), 40))
+    assert limit // 2 < len(known) * len(result) <= limit
+    recorder.close()
+
+
+def wait_until_settled(recorder: Recorder, settled: list[object], count: int) -> None:
+    deadline = time.monotonic() + 10.0
+    while len(settled) < count:
+        assert time.monotonic() < deadline, "the ledger settled nothing"
+        time.sleep(0.001)
+        recorder.process_completions()
+
+
 class LedgerServers:
     """Servers that share one ledger, and clients that send commits to them."""
 
