Tell a connection that floods the time after which it is not limited

Cause: arrivals were counted over windows of 1 s that fade over two of them, and the refusal told 1 s: a flood that stopped could be limited for almost 2 s.

Change: windows of 0.5 s, the limits in requests a second as before; the time to return is the two windows, 1 s.

Tests: test_only_the_source_that_floods_is_limited_and_only_while_it_does waits just the told time; it fails where that is one window, and passes with two.

--- a/lapishaven/core/source_fairness.py
+++ b/lapishaven/core/source_fairness.py
@@ -18,14 +18,14 @@
 if TYPE_CHECKING:
     from lapishaven.core.requests import Request
 
-WINDOW_S = 1.0  # arrivals are counted over this time
+WINDOW_S = 0.5  # arrivals are counted over this time
 UPDATE_INTERVAL_S = 0.05  # between two looks at who floods
 NEW_CONNECTION_S = 1.0  # age up to which a connection shares one record with the others of its frontend
 FLOOD_PER_CORE = 32.0  # requests a second that a source may send for each core of the backend, whatever is served
-FLOOD_PER_SERVED = 4.0  # the same for each request that was served in the last second, for fast backends
+FLOOD_PER_SERVED = 4.0  # the same for each request that is served in a second, for fast backends
 MAX_CORES_SHARE = 0.5  # of the backend's cores that may be in use when a limited source opens a request
 MAX_CALLERS = 8  # that one connection may speak for; a caller's requests bear its one number
-RETRY_AFTER_S = WINDOW_S  # after which a source that has stopped flooding is not limited any more
+RETRY_AFTER_S = 2 * WINDOW_S  # after which a source that has stopped flooding is not limited any more
 
 
 class SlidingCount:
@@ -145,7 +145,7 @@
     def _update(self, now: float, cores: int) -> None:
         """Look who floods: each connection for itself first, then what is left of the shared records."""
         self._updated_at = now
-        limit = max(FLOOD_PER_CORE * cores, FLOOD_PER_SERVED * self._served.value(now))
+        limit = max(FLOOD_PER_CORE * cores * WINDOW_S, FLOOD_PER_SERVED * self._served.value(now))
         for record in self._limited:
             record.is_limited = False
         self._limited = []
--- a/lapishaven/net/connection.py
+++ b/lapishaven/net/connection.py
@@ -146,7 +146,7 @@
             self.loop.watch(self.sock.fileno(), events, self._on_events)
 
     def peer_has_closed(self) -> bool:
-        """Whether the peer has closed its side and all that it sent was read, or that is known before."""
+        """Whether the peer has closed its side, as an event has told or is seen once all that it sent was read."""
         if self.end is not None or self._peer_half_closed or self.peer_finished:
             return True
         try:
--- a/lapishaven/server/server.py
+++ b/lapishaven/server/server.py
@@ -132,7 +132,6 @@
         config = files.config
 
         new_connections = RequestSource.shared()
-
         turns = platform.MessageTurns()
 
         def platform_session(sock: socket.socket) -> Session:
--- a/tests/test_source_fairness.py
+++ b/tests/test_source_fairness.py
@@ -11,6 +11,7 @@
     FLOOD_PER_CORE,
     FLOOD_PER_SERVED,
     NEW_CONNECTION_S,
+    RETRY_AFTER_S,
     UPDATE_INTERVAL_S,
     WINDOW_S,
     RequestSource,
@@ -55,9 +56,9 @@
     """Guards against a flood that is counted twice, or for ever."""
     count = SlidingCount()
     for number in range(100):
-        count.add(START + number / 100)
-    assert count.value(START + 0.99) == 100
-    assert 45 <= count.value(START + WINDOW_S + 0.5) <= 55
+        count.add(START + number / 100 * WINDOW_S)
+    assert count.value(START + 0.99 * WINDOW_S) == 100
+    assert 45 <= count.value(START + 1.5 * WINDOW_S) <= 55
     assert count.value(START + 2 * WINDOW_S) == 0
     count.add(START + 5.5)
     assert count.value(START + 5.5) == 1
@@ -70,7 +71,7 @@
     sources.send((flood, 10_000), (caller, 20))
     assert not sources.may_open(flood) and sources.may_open(caller)
     assert sources.may_open(flood, open_requests=CORES // 2 - 1)  # cores that nobody else wants
-    sources.send((caller, 20), duration_s=2 * WINDOW_S)
+    sources.send((caller, 20), duration_s=RETRY_AFTER_S)
     assert sources.may_open(flood)
 
 
@@ -94,11 +95,11 @@
     """Guards against a limit below what a server really serves."""
     sources = Sources()
     gateway, caller = sources.connection(), sources.connection()
-    rate = 3 * LIMIT
-    for _ in range(int(rate / FLOOD_PER_SERVED) + 2):
-        sources.fairness.record_arrival(sources.now, caller, CORES)
-        sources.fairness.record_served()
-    sources.send((gateway, rate), (caller, 20), duration_s=0.5)
+    rate, step_s = 3 * LIMIT, 0.01
+    for _ in range(200):
+        for _ in range(int(rate / FLOOD_PER_SERVED * step_s) + 1):
+            sources.fairness.record_served()
+        sources.send((gateway, rate), (caller, 200), duration_s=step_s)
     assert sources.may_open(gateway)
 
 
