Lab: a member stops itself only between its transactions on the coordinator's file

Cause: the fault point stops the whole process from the worker's thread. If the driver's thread is then in a transaction, the stopped process keeps the file's write lock. SQLite has no way to take it away, and docs/operators/ownership.md tells operators so; it is another fault than the one this test is about.

Change: in the lab's member, calls to the coordinator in a file hold a lock that a stop takes first; the test of the delayed write stops its member the same way. The other fault has its own test now, by a fault point within a transaction: no new owner while the member is stopped, then a takeover without a violation. Stops of the random trials from outside are as before. No wait or bound changed.

--- a/lapishaven/lab/field/member_process.py
+++ b/lapishaven/lab/field/member_process.py
@@ -72,6 +72,10 @@
         self.harness.start(name, **{"seed": seed, **coordinator_spec, **defaults, **spec})
         return f"{name}:{self.harness.processes[name].pid}"
 
+    def stop(self, name: str) -> None:
+        """Stop a member while it has no transaction open on the coordinator's file, whose lock it would keep."""
+        self.harness.send_command(name, stop=True)
+
     def effects(self) -> list[EffectRow]:
         """The effects that the receiver applied, in order."""
         with closing(sqlite3.connect(self.store_path)) as connection:
--- a/lapishaven/lab/field/process.py
+++ b/lapishaven/lab/field/process.py
@@ -1,9 +1,9 @@
 """A member process for the harness: an ownership agent with fault points that prints its event history.
 
 It reads commands from standard input, one JSON object a line. ``{"arm": [POINT, "stop" or "kill", COUNT]}`` makes it
-stop or kill itself when it next reaches the fault point for the COUNTth time, ``{"step": S}`` steps its wall clock by
-S seconds, ``{"leave": true}`` makes it hand over its shards and end, and ``{"shed": [DUTY, SHARD]}`` makes it give a
-shard back.
+stop or kill itself when it next reaches the fault point for the COUNTth time, ``{"stop": true}`` makes it stop itself
+while no transaction on the coordinator's file is open, ``{"step": S}`` steps its wall clock by S seconds,
+``{"leave": true}`` makes it hand over its shards and end, and ``{"shed": [DUTY, SHARD]}`` makes it give a shard back.
 """
 
 from __future__ import annotations
@@ -15,12 +15,13 @@
 import sys
 import threading
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import contextmanager
 from random import Random
 from typing import Any
 
 from lapishaven.lab.field.clock import FaultyClock
-from lapishaven.lock_waits import LockUse
+from lapishaven.lock_waits import LockUse, ObserveLock
 from lapishaven.ownership.agent import Agent, ApplyEffect, Duty, Receiver
 from lapishaven.ownership.coordinators.sqlite import SqliteCoordinator
 from lapishaven.ownership.duties import periods
@@ -107,11 +108,17 @@
 
 
 class FaultPoints:
-    """The fault points of a process: at an armed one it stops or kills itself."""
+    """The fault points of a process: at an armed one it stops or kills itself.
 
-    def __init__(self, report: Callable[[str, Mapping[str, Any]], None]) -> None:
+    ``coordinator_calls`` is held during each call to a coordinator in a file. A process stops only when no *other*
+    thread holds it: one that is stopped within a transaction keeps the file's write lock, which is a different fault.
+    The fault point ``in-transaction`` causes that one.
+    """
+
+    def __init__(self, report: Callable[[str, Mapping[str, Any]], None], coordinator_calls: threading.RLock) -> None:
         self._armed: dict[str, tuple[str, int]] = {}
         self._report = report
+        self._coordinator_calls = coordinator_calls
 
     def arm(self, point: str, action: str, count: int) -> None:
         """Make the process ``stop`` or ``kill`` itself when it reaches ``point`` for the ``count``th time from now."""
@@ -128,8 +135,45 @@
             return
         del self._armed[point]
         self._report("fault", {"point": point, "how": action})
-        # Sent to this thread, so that it executes nothing more before the signal takes effect.
-        signal.pthread_kill(threading.get_ident(), signal.SIGSTOP if action == "stop" else signal.SIGKILL)
+        if action == "stop":
+            self.stop()
+        else:
+            _signal_this_thread(signal.SIGKILL)
+
+    def stop(self) -> None:
+        """Stop the process while no other thread is in a call to the coordinator."""
+        with self._coordinator_calls:
+            _signal_this_thread(signal.SIGSTOP)
+
+
+def _signal_this_thread(signal_number: signal.Signals) -> None:
+    """Signal this thread, so that it executes nothing more before the signal takes effect."""
+    signal.pthread_kill(threading.get_ident(), signal_number)
+
+
+class FaultySqliteCoordinator(SqliteCoordinator):
+    """A coordinator in a file whose calls hold ``coordinator_calls``, with a fault point within its transactions."""
+
+    def __init__(
+        self,
+        path: str,
+        clock: FaultyClock,
+        observe_lock: ObserveLock,
+        fault_point: Callable[[str], None],
+        coordinator_calls: threading.RLock,
+    ) -> None:
+        super().__init__(path, clock, observe_lock=observe_lock)
+        self._fault_point = fault_point
+        self._coordinator_calls = coordinator_calls
+
+    @contextmanager
+    def _reading(self) -> Iterator[sqlite3.Connection]:
+        with self._coordinator_calls, super()._reading() as connection:
+            yield connection
+
+    def _require_session(self, session: int) -> None:
+        super()._require_session(session)
+        self._fault_point("in-transaction")
 
 
 class MemberProcess:
@@ -139,7 +183,8 @@
         self._spec = spec
         self._clock = FaultyClock(spec.get("drift", 0.0), spec.get("offset", 0.0))
         self._incarnation = f"{spec['name']}:{os.getpid()}"
-        self._fault_points = FaultPoints(self._report)
+        self._coordinator_calls = threading.RLock()
+        self._fault_points = FaultPoints(self._report, self._coordinator_calls)
         for point in spec.get("arm", []):
             self._fault_points.arm(*point)
         receiver, duty = self._receiver_and_duty()
@@ -175,7 +220,9 @@
             from lapishaven.ownership.coordinators.etcd import EtcdCoordinator
 
             return EtcdCoordinator("127.0.0.1", self._spec["etcd"], "/field", self._spec.get("timeout", 0.5))
-        return SqliteCoordinator(self._spec["coordinator"], self._clock, observe_lock=self._report_lock)
+        return FaultySqliteCoordinator(
+            self._spec["coordinator"], self._clock, self._report_lock, self._fault_points, self._coordinator_calls
+        )
 
     def _report_lock(self, use: LockUse) -> None:
         if use.is_slow or self._spec.get("lock_trace"):
@@ -200,6 +247,8 @@
             command = json.loads(line)
             if "arm" in command:
                 self._fault_points.arm(*command["arm"])
+            if command.get("stop"):
+                self._fault_points.stop()
             if "step" in command:
                 self._clock.offset += command["step"]
             if command.get("leave"):
--- a/tests/test_ownership_field.py
+++ b/tests/test_ownership_field.py
@@ -19,6 +19,7 @@
 from lapishaven.lab.field.member_process import FAST_RULES, MemberGroup, is_evenly_owned
 from lapishaven.lab.field.relay import RelayMode, Relays
 from lapishaven.ownership.command import find_store_violation
+from lapishaven.ownership.coordinators.sqlite import BUSY_TIMEOUT_S
 from lapishaven.ownership.fenced_store import FencedStore
 from lapishaven.ownership.participant import DUTY_SCHEMAS
 
@@ -53,7 +54,7 @@
         relays.set_mode(relay, RelayMode(hold_upstream=True))
         passed = relay.upstream_bytes
         relays.wait_until_held(relay)
-        group.harness.stop("a")
+        group.stop("a")
         newer = group.harness.wait_for_event("acked", who=b)
         count = len(group.harness.events)
         relays.set_mode(relay, RelayMode())
@@ -179,6 +180,24 @@
     ]
 
 
+def test_member_stopped_within_a_write_to_the_coordinators_file_blocks_the_takeover_until_it_is_resumed() -> None:
+    """Guards what operators are told of that fault: no member becomes owner meanwhile, and all recover afterwards."""
+    with ProcessHarness() as harness:
+        group = MemberGroup(harness, "sqlite")
+        a, b, token = group.start_pair()
+        harness.send_command("a", arm=["in-transaction", "stop", 1])
+        harness.wait_for_event("fault", who=a, point="in-transaction")
+        since = len(harness.events)
+        for _ in range(3):  # each is a wait that was given up after the whole busy timeout
+            given_up = harness.wait_for_event("slow lock", since=since, who=b, held=None)
+            assert given_up["waited"] >= BUSY_TIMEOUT_S
+            since = harness.events.index(given_up) + 1
+        assert not [event for event in harness.events if event["what"] == "acked" and event["token"] > token]
+        harness.resume("a")
+        harness.wait_until("an effect under a newer token", lambda events: effects_after(events, token))
+        group.assert_no_violation()
+
+
 def test_owner_cut_off_from_the_coordinator_but_not_from_the_receiver(group: MemberGroup) -> None:
     """Guards the expiry by the owner's own clock: it can still write, but stops before another member can be granted
     the shard."""
