Admission: an estimate without fresh samples lets one request at a time run

Once they predict that each run ends too late, every request is refused, no run completes and nothing is measured: refused for good, with idle cores.

Change: admission/estimate_probes.py has the rule, for the plain server and for pools. An estimate without a sample for 2 s lets one request at a time pass; the pause to the next is as long as the last probe took, 2 to 8 s.

--- a/lapishaven/admission/arrival.py
+++ b/lapishaven/admission/arrival.py
@@ -76,7 +76,8 @@
         """The reason to reject a request; ``None`` if it is admitted.
 
         If several checks fail, the first of these gives the reason: memory, the pool of the request's class, load. A
-        request is not rejected for load while its pool is within its guaranteed share.
+        request is not rejected for load while its pool is within its guaranteed share. A probe passes the estimates of
+        the pools.
         """
         rules = self._rules
         pools = rules.pools
@@ -86,7 +87,7 @@
             pool_rejection = pools.rejection(now, request.class_index, request.objective_at, answer_by)
         if rules.memory.is_exhausted_by(request):
             return rejection.OUT_OF_MEMORY
-        if pool_rejection is not None:
+        if pool_rejection is not None and not (pool_rejection.by_estimate and rules.probes.passes(request, now)):
             return pool_rejection
         if pools is not None and pools.is_guaranteed(request.class_index):
             return None
--- a/lapishaven/admission/dispatcher.py
+++ b/lapishaven/admission/dispatcher.py
@@ -31,9 +31,18 @@
             run_time = run_times[request.class_index]
             if drain.is_active and drain.is_too_late(request, now, run_time):
                 self._ending.reject(request, rejection.DRAINING, now, actions)
-            elif queue_order.is_hopeless(request, now, run_time):
+            elif self._is_hopeless(request, now, run_time):
                 self._ending.reject(request, rejection.HOPELESS, now, actions)
 
+    def _is_hopeless(self, request: TrackedRequest, now: float, run_time: float) -> bool:
+        """Whether a queued request cannot succeed, either by its wait or by ``run_time`` unless it is a probe."""
+        if not queue_order.is_hopeless(request, now, run_time):
+            return False
+        if queue_order.is_hopeless(request, now, 0.0):
+            return True
+        is_by_estimate = queue_order.is_hopeless(request, request.arrived_at, run_time)
+        return not (is_by_estimate and self._rules.probes.passes(request, now))
+
     def start_runs(self, now: float, actions: list[Action]) -> None:
         """Start requests in dispatch order while there are free slots."""
         rules = self._rules
--- a/lapishaven/admission/ports.py
+++ b/lapishaven/admission/ports.py
@@ -39,8 +39,11 @@
     def dequeue(self, request_id: int) -> None:
         """Remove a queued request that will not run."""
 
-    def run_ended(self, now: float, request_id: int, succeeded: bool) -> None:
-        """Record that a run has ended; ``succeeded`` if it completed and was neither cancelled nor failed."""
+    def run_ended(self, now: float, request_id: int, succeeded: bool, is_probe: bool) -> None:
+        """Record that a run has ended; ``succeeded`` if it completed and was neither cancelled nor failed.
+
+        ``is_probe``: it was started to correct the estimates, although they predicted that it would end too late.
+        """
 
     def requeue_preempted(self, now: float, request_id: int) -> bool:
         """Queue the rest of a cancelled run if the pools preempted it; return whether they did."""
--- a/lapishaven/admission/rejection.py
+++ b/lapishaven/admission/rejection.py
@@ -15,6 +15,8 @@
     """Seconds after which capacity is expected; 0 if the rule gives no estimate."""
     no_retry_elsewhere: bool = False
     """Whether the caller should not retry at another instance, because peers would reject the request as well."""
+    by_estimate: bool = False
+    """Whether it rests on an estimate of run times, which probes pass; see ``EstimateProbes``."""
 
 
 OUT_OF_MEMORY = Rejection("memory")
--- a/lapishaven/admission/request.py
+++ b/lapishaven/admission/request.py
@@ -44,6 +44,7 @@
         "has_run",
         "has_reservation",
         "is_answered",
+        "is_probe",
         "memory_kb",
         "needs_reservation",
         "objective_at",
@@ -75,5 +76,6 @@
         self.state_since = 0.0
         self.has_run = False
         self.is_answered = False  # whether it was answered although its run has not ended
+        self.is_probe = False  # whether it passes estimates of run times; see ``EstimateProbes``
         self.has_reservation = False
         self.needs_reservation = request_class.idempotency is not Idempotency.IDEMPOTENT
--- a/lapishaven/admission/request_ending.py
+++ b/lapishaven/admission/request_ending.py
@@ -37,7 +37,7 @@
         if state in (QUEUED, AWAITING_ORIGINAL, PAUSED):
             if rules.reservations.release(request):
                 actions.append(ReleaseKey(request.request_id))
-            self._table.remove(request)
+            self._remove(request, now)
             if rules.pools is not None:
                 rules.pools.dequeue(request.request_id)
             return
@@ -65,11 +65,17 @@
             if was_cancelled and rules.pools.requeue_preempted(now, request.request_id):
                 self._table.move(request, PAUSED, now)
                 return
-            rules.pools.run_ended(now, request.request_id, succeeded)
+            rules.pools.run_ended(now, request.request_id, succeeded, request.is_probe)
         if succeeded and request.state is RUNNING and not request.is_answered:
-            rules.run_latency.record(request.class_index, event.elapsed)
+            rules.run_latency.record(request.class_index, event.elapsed, request.is_probe)
+            rules.probes.record_sample(request.class_index, now)
         if was_cancelled:
             self._table.move(request, QUEUED, now)
             self.reject(request, rejection.RUN_CANCELLED, now, actions)
         else:
-            self._table.remove(request)
+            self._remove(request, now)
+
+    def _remove(self, request: TrackedRequest, now: float) -> None:
+        """Remove a request that has ended."""
+        self._table.remove(request)
+        self._rules.probes.end(request, now)
--- a/lapishaven/admission/rules.py
+++ b/lapishaven/admission/rules.py
@@ -9,6 +9,7 @@
 from lapishaven.admission.deduplication import KeyReservations
 from lapishaven.admission.dependency_calls import DependencyCalls
 from lapishaven.admission.draining import Drain
+from lapishaven.admission.estimate_probes import EstimateProbes
 from lapishaven.admission.health import HealthStatus
 from lapishaven.admission.load_measurement import LoadMeasurement
 from lapishaven.admission.load_signal import LoadSignal
@@ -31,6 +32,7 @@
         self.table = RequestTable(self.memory)
         self.deadlines = DeadlineQueue()
         self.run_latency = RunLatency(settings, pools)
+        self.probes = EstimateProbes(settings)
         self.load = LoadMeasurement(settings)
         self.shedding = LoadShedding()
         self.concurrency = ConcurrencyLimit(settings)
@@ -50,6 +52,7 @@
         for rule in (
             self.memory,
             self.run_latency,
+            self.probes,
             self.load,
             self.concurrency,
             self.reservations,
--- a/lapishaven/admission/run_latency.py
+++ b/lapishaven/admission/run_latency.py
@@ -6,6 +6,7 @@
 from lapishaven.admission.settings import Settings
 
 MEAN_SMOOTHING = 0.1  # weight of the newest sample in the mean
+PROBE_SMOOTHING = 0.5  # weight of a probe in the mean
 BASELINE_SMOOTHING = 0.01  # fraction of the distance by which the baseline follows a higher mean with each sample
 INITIAL_OBJECTIVE_SHARE = 0.2  # fraction of the latency objective that a class's runs are assumed to take at first
 
@@ -23,10 +24,10 @@
         self.mean = 0.0  # 0 until there is a sample
         self.baseline = 0.0
 
-    def record(self, elapsed: float) -> None:
-        """Add one latency in seconds."""
+    def record(self, elapsed: float, smoothing: float = MEAN_SMOOTHING) -> None:
+        """Add one latency in seconds, with the weight ``smoothing`` in the mean."""
         mean = self.mean
-        mean = mean + MEAN_SMOOTHING * (elapsed - mean) if mean else elapsed
+        mean = mean + smoothing * (elapsed - mean) if mean else elapsed
         baseline = self.baseline
         self.mean = mean
         self.baseline = baseline + BASELINE_SMOOTHING * (mean - baseline) if 0.0 < baseline < mean else mean
@@ -54,9 +55,12 @@
         added = len(settings.classes) - len(self.estimates)
         self.estimates += [LatencyEstimate() for _ in range(added)]
 
-    def record(self, class_index: int, elapsed: float) -> None:
-        """Add a run that completed after ``elapsed`` seconds."""
-        self.estimates[class_index].record(elapsed)
+    def record(self, class_index: int, elapsed: float, is_probe: bool) -> None:
+        """Add a run that completed after ``elapsed`` seconds.
+
+        A probe has more weight, as what was measured before it is out of date.
+        """
+        self.estimates[class_index].record(elapsed, PROBE_SMOOTHING if is_probe else MEAN_SMOOTHING)
 
     def expected(self, class_index: int) -> float:
         """The expected duration in seconds of a run of the class."""
--- a/lapishaven/pools/capacity.py
+++ b/lapishaven/pools/capacity.py
@@ -19,6 +19,7 @@
 MIN_SPEED = 0.02  # lower bound of the speed estimate, so that times stay finite
 MAX_SPEED = 4.0  # upper bound of the speed estimate
 MIN_SPEED_CHANGE = 0.25  # fraction of the speed by which a measured speed must differ to be adopted
+MIN_ATTAINED_S = 1e-6  # lower bound of a divisor, so that the speed stays finite
 NORMAL_SPEED_RANGE = (0.75, 1.33)  # a speed within it counts as normal
 
 
@@ -151,12 +152,29 @@
         speed = measured / self._slow_start_speed(now)
         if abs(speed - self.speed) < MIN_SPEED_CHANGE * self.speed:
             return False
+        self._set_speed(now, speed)
+        return True
+
+    def record_probe(self, now: float, class_index: int, attained: float) -> None:
+        """Correct the estimates by a run that attained ``attained`` core-seconds although it was predicted to be late.
+
+        What one run shows is uncertain, so it only corrects estimates that were too slow: the speed, up to the normal
+        one, or else the work of its class.
+        """
+        if self.speed < NORMAL_SPEED_RANGE[0]:
+            speed = self._work.work(class_index) / max(attained, MIN_ATTAINED_S) / self._slow_start_speed(now)
+            if speed > self.speed:
+                self._detector.reset()
+                self._set_speed(now, min(1.0, speed))
+        else:
+            self._work.lower(class_index, attained * self.current_speed())
+
+    def _set_speed(self, now: float, speed: float) -> None:
         self.speed = min(max(speed, MIN_SPEED), MAX_SPEED)
         if NORMAL_SPEED_RANGE[0] < self.speed < NORMAL_SPEED_RANGE[1]:
             self.speed = 1.0
         self.speed_changes += 1
         self.speed_changed_at = now
-        return True
 
     def _slow_start_speed(self, now: float) -> float:
         """The fraction of the normal speed that slow start allows at ``now``; 1 once it is over."""
--- a/lapishaven/pools/pools.py
+++ b/lapishaven/pools/pools.py
@@ -137,7 +137,7 @@
 
         A request whose run alone would miss the objective is still admitted if its class is idempotent and has a late
         weight, it need not wait in the queue, and its deadline can be met. Such runs also show when the instance is
-        fast again.
+        fast again, and so do the probes that pass a rejection ``by_estimate``.
         """
         pool_index = self._pool_of_class[class_index]
         run_time = self.run_time(class_index)
@@ -154,7 +154,7 @@
             return None
         self.pools[pool_index].rejected += 1
         reason = INSTANCE_SLOW if self.capacity.speed < SLOW_SPEED else OBJECTIVE_MISSED
-        return Rejection(reason, self.settings.max_retry_after or DEFAULT_RETRY_AFTER_S)
+        return Rejection(reason, self.settings.max_retry_after or DEFAULT_RETRY_AFTER_S, by_estimate=True)
 
     def _queue_time(self, pool_index: int, class_index: int) -> float:
         """The expected queueing time in seconds: the pool's queued work divided by the pool's work rate."""
@@ -200,12 +200,15 @@
         """Remove a queued request that will not run."""
         self.ready.remove(request_id)
 
-    def run_ended(self, now: float, request_id: int, succeeded: bool) -> None:
-        """Record that a run has ended; ``succeeded`` if it completed."""
+    def run_ended(self, now: float, request_id: int, succeeded: bool, is_probe: bool = False) -> None:
+        """Record that a run has ended; ``succeeded`` if it completed. One that ``is_probe`` corrects the estimates."""
         run = self.running.pop(request_id, None)
-        if run is not None:
-            self.pools[run.pool].running -= 1
-            self.capacity.run_ended(now, request_id, succeeded)
+        if run is None:
+            return
+        self.pools[run.pool].running -= 1
+        attained = self.capacity.run_ended(now, request_id, succeeded)
+        if is_probe and succeeded:
+            self.capacity.record_probe(now, run.class_index, attained)
 
     def requeue_preempted(self, now: float, request_id: int) -> bool:
         """Queue the rest of a cancelled run if the pools preempted it; return whether they did."""
--- a/lapishaven/pools/work_estimate.py
+++ b/lapishaven/pools/work_estimate.py
@@ -52,6 +52,10 @@
         if at_normal_speed:
             self._work[class_index] += WORK_SMOOTHING * (work - self._work[class_index])
 
+    def lower(self, class_index: int, work: float) -> None:
+        """Lower the work of a class by half of the distance to that of one run, if that run took less."""
+        self._work[class_index] -= max(0.0, (self._work[class_index] - work) / 2)
+
     def adopt_changed_classes(self, now: float) -> bool:
         """Adopt the new work of classes that changed while the instance did not; return whether there are any.
 
--- a/lapishaven/server/counter_report.py
+++ b/lapishaven/server/counter_report.py
@@ -40,6 +40,8 @@
         """Set the counter groups that are read from components instead of being counted event by event."""
         groups = self._counters.groups
         groups["bytes"] = Counter(received=self._loop.received, sent=self._loop.sent)
+        if self._core.broker is not None:
+            groups["estimates"] = Counter(probes=self._core.broker.controller.rules.probes.begun)
         if self._core.pools is not None:
             groups["pools"] = Counter(self._core.pools.state())
         if self._core.result_store is not None:
