Core: what a repeat gets is decided before any check that can refuse it

Each check on the way in was placed by itself.

Change: core/repeats.py recognizes a repeat by attempt, key, stored result, original and known effect; SubmissionIntake asks it first. Only a party without a contract gets nothing at all. Contracts.admit is split into find and charge; a repeat is not charged. After the final answers of a shutdown a repeat is failed, not refused.

Two tests of contracts follow the split and assert what they did, and that a party without a contract is denied.

--- a/lapishaven/core/contracts.py
+++ b/lapishaven/core/contracts.py
@@ -71,21 +71,23 @@
         """Copy the budgets from before a reload, so that a reload does not refill them."""
         self._buckets = {party: bucket for party, bucket in old._buckets.items() if party in self._contracts}
 
-    def admit(self, now: float, party: Party) -> Contract | Denied:
-        """Charge a request to the contract that covers it; return the contract, or why the request is denied."""
-        contract = self._contracts.get(party)
-        if contract is None:
-            return Denied("no contract", None)
+    def find(self, party: Party) -> Contract | Denied:
+        """The contract that covers a request; if there is none, why the request is denied."""
+        return self._contracts.get(party) or Denied("no contract", None)
+
+    def charge(self, now: float, contract: Contract) -> Denied | None:
+        """Charge a request to its contract; return why it is denied, or ``None`` if it is not."""
         if self._assigned_budgets is not None:
             wait = self._assigned_budgets.take_budget(now, contract)
             if wait > 0.0:
                 return Denied("over budget", wait)
             if wait == 0.0:
-                return contract
-        return self._take_token(now, party, contract)
+                return None
+        return self._take_token(now, contract)
 
-    def _take_token(self, now: float, party: Party, contract: Contract) -> Contract | Denied:
+    def _take_token(self, now: float, contract: Contract) -> Denied | None:
         """Charge the contract's token bucket."""
+        party = contract.party
         bucket = self._buckets.get(party)
         if bucket is None:
             bucket = self._buckets[party] = _Bucket(now, contract.burst)
@@ -94,4 +96,4 @@
         if bucket.tokens < 1.0:
             return Denied("over budget", (1.0 - bucket.tokens) / contract.rate)
         bucket.tokens -= 1.0
-        return contract
+        return None
--- a/lapishaven/core/execution_guard.py
+++ b/lapishaven/core/execution_guard.py
@@ -100,9 +100,10 @@
         self.peers.refresh()
         return self.peers.find((request_class.name, key))
 
-    def is_known_effect(self, submission: Submission) -> bool:
-        """Whether this process has started the submission's effect before."""
+    def is_known_effect(self, now: float, submission: Submission) -> bool:
+        """Whether this process has started the submission's effect before, and still remembers it."""
         key = submission.idempotency_key
+        self.effects.expire(now)
         return key is not None and self.effects.is_claimed((submission.class_index, key))
 
     def is_known_attempt(self, submission: Submission, settings: Settings) -> bool:
--- a/lapishaven/core/submission_intake.py
+++ b/lapishaven/core/submission_intake.py
@@ -8,9 +8,11 @@
 from lapishaven.core.contracts import Contract, Contracts, Denied, Party
 from lapishaven.core.core_state import CoreState
 from lapishaven.core.durable_execution import DurableExecution
-from lapishaven.core.idempotency_keys import EffectKey
+from lapishaven.core.idempotency_keys import KeyEntry
+from lapishaven.core.peer_effect_table import PeerEffect
 from lapishaven.core.ports import Backend, Reply
-from lapishaven.core.request_lifecycle import KEY_OF_ANOTHER_REQUEST, NEVER_RAN_RETRY_AFTER_S, RequestLifecycle
+from lapishaven.core.repeats import Original, Repeats
+from lapishaven.core.request_lifecycle import NEVER_RAN_RETRY_AFTER_S, RequestLifecycle
 from lapishaven.core.request_table import memory_of
 from lapishaven.core.requests import Answer, AnswerKind, Request, RequestState, Submission
 from lapishaven.core.source_fairness import RETRY_AFTER_S as FLOOD_RETRY_AFTER_S
@@ -20,17 +22,24 @@
     AnswerKind.REJECTED, reason="too many requests on one connection", retry_after=FLOOD_RETRY_AFTER_S
 )
 """The answer to a request of a source that floods the server."""
+LEAVES = Answer(AnswerKind.REJECTED, reason="the server leaves", retry_after=NEVER_RAN_RETRY_AFTER_S)
+"""The answer to a request that came after the server had answered all others."""
+LEAVES_WITHOUT_RESULT = Answer(AnswerKind.FAILED, reason="the server leaves")
+"""The answer to a repeat that came then: its original runs or ran."""
 OUT_OF_MEMORY = Answer(AnswerKind.REJECTED, reason="too many open requests", retry_after=NEVER_RAN_RETRY_AFTER_S)
 """The answer to a request that this process has no memory for."""
 
 
 class SubmissionIntake:
-    """Checks each submission.
+    """Checks each submission, in this order.
 
-    In this order: shutdown, known attempt, key with another body, contract, stored result, then whether there is room
-    for it: this process's memory, and fairness between sources.
+    1. Whether its party has a contract; without one it gets nothing, no result of a repeat either.
+    2. Whether it is a repeat (``Repeats``). A repeat is not charged to its contract, and nothing below refuses it.
+    3. Shutdown, the budget of its contract, and whether there is room for it: this process's memory, and fairness
+       between sources.
 
-    A submission that passes is added to the table, and its arrival is reported to the controller.
+    A submission that passes, or waits for the result of its original, is added to the table, and its arrival is
+    reported to the controller.
     """
 
     def __init__(
@@ -58,7 +67,7 @@
         self._counters = state.counters
         self._events = state.events
         self._lifecycle = lifecycle
-        self._durable = durable
+        self._repeats = Repeats(state, lifecycle, durable)
         self._contracts = contracts
         self._default_backend = default_backend
         self._routes = routes
@@ -74,76 +83,60 @@
         """Add a submission to the table; ``None`` if it was answered immediately."""
         self._counters.add("requests", "read")
         self.record_arrival(now, submission.source)
-        answer = self._check_attempt(submission)
-        if answer is not None:
-            self._lifecycle.send(submission, reply, answer)
-            return None
-        key = self._deduplication_key(submission)
-        original = self._keys.find(key, now) if key is not None else None
-        peer_effect = self._guard.find_peer_effect(submission, self._settings.current) if original is None else None
-        holder = original or peer_effect
-        if holder is not None and self._lifecycle.is_of_another_request(submission, holder.body_digest):
-            self._lifecycle.send(submission, reply, KEY_OF_ANOTHER_REQUEST)
-            return None
-        contract = self._charge_contract(now, submission)
+        contract = self._find_contract(submission)
         if isinstance(contract, Denied):
             self._lifecycle.send(submission, reply, self._denial(contract))
             return None
-        stored_answer = self._find_stored_answer(submission)
-        if stored_answer is not None:
-            self._lifecycle.send(submission, reply, stored_answer)
-            return None
-        refusal = self._find_refusal(now, submission) if original is None and peer_effect is None else None
-        if refusal is not None:
-            self._counters.add("reasons", refusal.reason)
-            self._lifecycle.send(submission, reply, refusal)
+        repeat = self._repeats.resolve(now, submission)
+        answer = self._refuse(now, submission, contract) if repeat is None else self._answer_repeat(repeat)
+        if answer is not None:
+            self._lifecycle.send(submission, reply, answer)
             return None
         request = self._add_request(now, submission, reply, contract)
-        if original is not None:
-            request.duplicate_of = original.request_id
-        elif peer_effect is not None:
+        key = self._repeats.key_of(submission)
+        if isinstance(repeat, KeyEntry):
+            request.duplicate_of = repeat.request_id
+        elif isinstance(repeat, PeerEffect):
             request.duplicate_of = self._table.new_id()  # of no request here
-            request.awaited_effect = peer_effect
+            request.awaited_effect = repeat
         elif key is not None:
             self._keys.open(key, request.request_id, submission.body_digest)
         self._queue_arrival(now, request, self._has_own_deadline(submission, contract))
         return request
 
     # ---- Checks
-    def _check_attempt(self, submission: Submission) -> Answer | None:
-        """The answer to an attempt that arrives after the shutdown or is already known; ``None`` if it passes."""
-        if self._drain_state.closed:
-            return Answer(AnswerKind.REJECTED, reason="the server leaves", retry_after=NEVER_RAN_RETRY_AFTER_S)
-        attempt_id = submission.attempt_id
-        if attempt_id in self._table.by_attempt or self._guard.is_known_attempt(submission, self._settings.current):
-            # The backend identifies runs by this id, so a second request with it could get the first one's result. The
-            # attempt may have run, so it is failed and not rejected.
-            return Answer(AnswerKind.FAILED, reason="this try is known already")
-        return None
+    def _answer_repeat(self, repeat: Answer | Original) -> Answer | None:
+        """The answer to a repeat; ``None`` if it waits for the result of its original."""
+        if isinstance(repeat, Answer):
+            return repeat
+        return LEAVES_WITHOUT_RESULT if self._drain_state.closed else None
 
-    def _deduplication_key(self, submission: Submission) -> EffectKey | None:
-        """The key that duplicates share; ``None`` if the submission has no key or its class is idempotent."""
-        if submission.idempotency_key is None or not self._settings.is_deduplicated(submission):
-            return None
-        return submission.class_index, submission.idempotency_key
+    def _refuse(self, now: float, submission: Submission, contract: Contract | None) -> Answer | None:
+        """The answer to a submission that is no repeat and is refused; ``None`` if it is not.
+
+        It is charged to its contract unless the server leaves.
+        """
+        if self._drain_state.closed:
+            return LEAVES
+        denied = self._contracts.charge(now, contract) if contract is not None and self._contracts is not None else None
+        if denied is not None:
+            return self._denial(denied)
+        refusal = self._find_refusal(now, submission)
+        if refusal is not None:
+            self._counters.add("reasons", refusal.reason)
+        return refusal
 
-    def _charge_contract(self, now: float, submission: Submission) -> Contract | Denied | None:
-        """Charge the submission to the contract that covers it and return that; ``None`` if it needs no contract."""
+    def _find_contract(self, submission: Submission) -> Contract | Denied | None:
+        """The contract that covers the submission; ``None`` if it needs none."""
         if self._contracts is None or submission.team is None:
             return None
-        return self._contracts.admit(now, Party(submission.team, submission.service, submission.class_index))
+        return self._contracts.find(Party(submission.team, submission.service, submission.class_index))
 
     def _denial(self, denied: Denied) -> Answer:
         self._counters.add("reasons", denied.reason)
         kind = AnswerKind.FORBIDDEN if denied.retry_after is None else AnswerKind.REJECTED
         return Answer(kind, reason=denied.reason, retry_after=denied.retry_after)
 
-    def _find_stored_answer(self, submission: Submission) -> Answer | None:
-        """The answer from the stored result of the submission's effect; ``None`` if there is no result."""
-        if self._durable is None or not self._durable.covers(submission):
-            return None
-        return self._durable.find_answer(submission)
-
     # ---- Room
     def record_arrival(self, now: float, source: RequestSource | None) -> None:
         """Count an arrival, and give up what sources that flood the server have queued."""
@@ -151,14 +144,12 @@
             return
         for request in self._fairness.record_arrival(now, source, self._settings.current.cores):
             is_unstarted = request.state is RequestState.QUEUED and not request.ran and request.reply is not None
-            if is_unstarted and not self._guard.is_known_effect(request.submission):
+            if is_unstarted:
                 self._counters.add("reasons", SOURCE_FLOODS.reason)
                 self._lifecycle.give_up(request, SOURCE_FLOODS)
 
     def _find_refusal(self, now: float, submission: Submission) -> Answer | None:
-        """The answer to a submission for which there is no room; ``None`` if there is, or if its effect ran before."""
-        if self._guard.is_known_effect(submission):
-            return None
+        """The answer to a submission for which there is no room; ``None`` if there is."""
         if self._table.held_bytes + memory_of(submission) > self._memory_limit:
             return OUT_OF_MEMORY
         cores, source = self._settings.current.cores, submission.source
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -14,7 +14,7 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from lapishaven.core.contracts import Contract, Contracts, Denied
+from lapishaven.core.contracts import Contract, Contracts, Denied, Party
 from lapishaven.lab import modelcheck
 from lapishaven.lab.ownership_simulation import MembershipSimulation, SimulatedClock
 from lapishaven.ownership.agent import Agent, ShardProgress
@@ -475,9 +475,11 @@
 
     terms = [Contract(team, "s", 0, 1.0, "interpreter", 1.0, 1.0) for team in ("granted", "own")]
     contracts = Contracts(terms, GrantedQuota())
-    assert contracts.admit(0.0, ("granted", "s", 0)) == Denied("over budget", 2.5)
-    assert contracts.admit(0.0, ("own", "s", 0)) is terms[1]
-    assert contracts.admit(0.0, ("own", "s", 0)) == Denied("over budget", 1.0)
+    assert contracts.find(Party("own", "s", 0)) is terms[1]
+    assert contracts.find(Party("own", "s", 1)) == Denied("no contract", None)
+    assert contracts.charge(0.0, terms[0]) == Denied("over budget", 2.5)
+    assert contracts.charge(0.0, terms[1]) is None
+    assert contracts.charge(0.0, terms[1]) == Denied("over budget", 1.0)
 
 
 # ---- Settings
--- a/tests/test_ownership_participant.py
+++ b/tests/test_ownership_participant.py
@@ -58,13 +58,13 @@
 
     def request_until_granted() -> bool:
         for _ in range(10):
-            contracts["a"].admit(0.0, ("t", "s", 0))
+            contracts["a"].charge(0.0, CONTRACTS[0])
         return bucket.granted_rate > 60.0
 
     wait_for("a grant of most of the rate", request_until_granted)
     served, started_at = 0, time.monotonic()
     while (elapsed_s := time.monotonic() - started_at) < 1.5:
-        served += isinstance(contracts["a"].admit(0.0, ("t", "s", 0)), Contract)
+        served += contracts["a"].charge(0.0, CONTRACTS[0]) is None
         time.sleep(0.002)
     assert served <= 80.0 * 1.1 * elapsed_s + 92  # the rate with its overshoot, and the tokens of a full bucket
 
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -2,9 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from unittest import mock
+
 from scenario import SETTINGS, World, configuration, settings
 
+from lapishaven.admission import rejection
+from lapishaven.admission.arrival import ArrivalHandler
+from lapishaven.core.broker import Broker
+from lapishaven.core.contracts import Contract
+from lapishaven.core.drain_state import DrainState
 from lapishaven.core.execution_guard import CLOCK_SLACK_S
+from lapishaven.core.source_fairness import SourceFairness
 
 KEYED = {"effect": "guarded", "window": 3.0}
 WINDOW_S, DEADLINE_S, POLL_S = 3.0, 3.8, 0.1
@@ -213,3 +222,113 @@
             expect c1 result 1
         """)
         self.assertEqual(self.vm.applied, ["c1.1"])
+
+
+class RepeatsBeforeRefusals(World):
+    """Each check that can refuse a request, against a repeat in each state of its original."""
+
+    settings = settings([{}, KEYED])
+    contracts = [Contract("team", "gateway", 1, DEADLINE_S, "interpreter", rate=0.001, burst=3.0)]
+
+    @property
+    def broker(self) -> Broker:
+        assert self.server.broker is not None
+        return self.server.broker
+
+    # ---- States of the original
+    def running(self) -> None:
+        self.play("expect vm CONNECT 0\nsend u1 approve-commit id=k by=gateway\nexpect vm APPLY u1")
+
+    def served(self) -> None:
+        self.running()
+        self.play("send vm OK u1\nexpect u1 200 u1")
+
+    def failed(self) -> None:
+        self.running()
+        self.play("send vm ERROR u1\nexpect u1 502")
+
+    def served_and_evicted(self) -> None:
+        self.served()
+        keys = self.broker._lifecycle._keys
+        keys.result_limit_bytes = 0
+        keys._evict_results()
+
+    def served_before_its_window(self) -> None:
+        self.served()
+        self.play(f"wait {WINDOW_S + 0.3}")
+
+    # ---- Checks that refuse whatever is no repeat
+    def over_budget(self) -> None:
+        assert self.broker._intake._contracts is not None
+        self.broker._intake._contracts._buckets[self.contracts[0].party].tokens = 0.0
+
+    def out_of_memory(self) -> None:
+        self.broker._intake._memory_limit = 0
+
+    def flooded(self) -> None:
+        self.patch(SourceFairness, "may_open", lambda *arguments: False)
+
+    def overloaded(self) -> None:
+        self.patch(ArrivalHandler, "_verdict", lambda *arguments: rejection.OVERLOADED)
+
+    def out_of_booked_memory(self) -> None:
+        self.broker.controller.rules.memory._limit_kb = 0.0
+
+    def closed(self) -> None:
+        self.broker._drain_state.closed = True
+
+    def past_the_grace_of_a_drain(self) -> None:
+        self.patch(DrainState, "arrived_after_grace", lambda *arguments: True)
+
+    def patch(self, owner: type, name: str, replacement: Callable[..., object]) -> None:
+        patcher = mock.patch.object(owner, name, replacement)
+        patcher.start()
+        self.patches.append(patcher)
+
+    def status(self, name: str) -> bytes:
+        self.pump()
+        return bytes(self.peers[name].data)[9:12]
+
+    def start_again(self) -> None:
+        self.tearDown()
+        self.setUp()
+        self.patches: list[mock._patch[object]] = []
+
+    # Guards against a repeat that is refused though its effect runs or ran: its caller sends it to another server.
+    def test_no_check_refuses_a_repeat_of_what_runs_or_ran(self) -> None:
+        states = (self.running, self.served, self.failed, self.served_and_evicted, self.served_before_its_window)
+        checks = (
+            self.over_budget,
+            self.out_of_memory,
+            self.flooded,
+            self.overloaded,
+            self.out_of_booked_memory,
+            self.closed,
+            self.past_the_grace_of_a_drain,
+        )
+        for state in states:
+            for check in checks:
+                with self.subTest(state=state.__name__, check=check.__name__):
+                    self.start_again()
+                    state()
+                    check()
+                    try:
+                        self.play("send u2 approve-commit id=k by=gateway body=u1 retry=1")
+                        self.play("send u3 approve-commit id=other by=gateway")
+                        if state == self.running:
+                            self.play("send vm OK u1")
+                        has_result = state in (self.running, self.served) and check != self.closed
+                        self.assertEqual(self.status("u2"), b"200" if has_result else b"502")
+                        self.assertEqual(self.status("u3"), b"503")
+                        self.assertEqual(self.vm.applied, ["u1"])
+                    finally:
+                        for patcher in self.patches:
+                            patcher.stop()
+
+    # Guards against a repeat that gets a result to which its party has no right, and against one that costs budget.
+    def test_a_repeat_costs_no_budget_and_needs_a_contract(self) -> None:
+        self.served()
+        for number in range(4, 14):
+            self.play(f"send u{number} approve-commit id=k by=gateway body=u1\nexpect u{number} 200 u1")
+        self.play("send u20 approve-commit id=k by=stranger body=u1\nexpect u20 403")
+        self.play("send u21 approve-commit id=new by=gateway\nexpect vm APPLY u21")
