Storage: an effect without a result does not run again while it is stored

Only stored results were looked up; once the guard had forgotten the effect, the new intent overwrote its entry.

Change: core/repeats.py takes every record of the result store as known, and fails the repeat; what the store keeps counts, whoever asks.

Test: test_an_effect_without_a_result_never_runs_again_while_it_is_stored, which finds the second run on the code before (no answer, a second attempt sent).

--- a/lapishaven/core/durable_execution.py
+++ b/lapishaven/core/durable_execution.py
@@ -44,6 +44,10 @@
         self._counters.add("requests", "answered from its kept result")
         return Answer(AnswerKind.SERVED, effect.result)
 
+    def is_known_effect(self, submission: Submission) -> bool:
+        """Whether the store has a record of the submission's effect: it ran, or it may have run."""
+        return self._store.find(*self._effect_of(submission)).effect_state is not EffectState.UNKNOWN
+
     def start(self, request: Request, launch: Callable[[Request], None]) -> None:
         """Record the intent to run the request, and call ``launch`` with the request once the intent is durable.
 
--- a/lapishaven/core/repeats.py
+++ b/lapishaven/core/repeats.py
@@ -51,7 +51,7 @@
         stored_answer = self._durable.find_answer(submission) if self._durable is not None else None
         if stored_answer is not None:
             return stored_answer
-        if original is None and self._guard.is_known_effect(now, submission):
+        if original is None and self._is_known_effect(now, submission):
             return RAN_BEFORE
         return original
 
@@ -62,6 +62,12 @@
             return None
         return submission.class_index, key
 
+    def _is_known_effect(self, now: float, submission: Submission) -> bool:
+        """Whether the effect ran or may have run, as far as this process or the result store remembers it."""
+        if self._guard.is_known_effect(now, submission):
+            return True
+        return self._durable is not None and self._durable.is_known_effect(submission)
+
     def _find_original(self, now: float, submission: Submission) -> Original | None:
         key = self.key_of(submission)
         original = self._keys.find(key, now) if key is not None else None
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -191,6 +191,17 @@
             expect up fuzzy-match u3
         """)
 
+    # Guards against a second run within ``life_s``, when all but the store have forgotten a run that gave no result.
+    def test_an_effect_without_a_result_never_runs_again_while_it_is_stored(self) -> None:
+        self.play("send u1 approve-commit id=k\n wait 0.01")
+        self.make_durable()
+        self.play("expect up approve-commit u1\n send up 500\n expect u1 502\n wait 950")
+        self.play("send u2 approve-commit id=k retry=1 body=u1\n expect u2 502")
+        self.play("send u3 approve-commit id=k\n expect u3 502")
+        self.restart()
+        self.play("wait 950\n send u4 approve-commit id=k retry=1 body=u1\n expect u4 502")
+        self.assert_runs(1)
+
     def test_a_run_that_provably_never_began_frees_its_key(self) -> None:
         self.play("send u1 approve-commit id=k\n wait 0.01")
         self.make_durable()
