Contracts: name the class by its name, which a reload does not shift

A class added in front shifted every contract: commits went to a server without a contract for them, saves were answered 403.

Change: Contract and Party hold the class's name; the quotas of ownership take the contract's name from it, equal to what they stored before.

--- a/lapishaven/cli/serve.py
+++ b/lapishaven/cli/serve.py
@@ -157,8 +157,7 @@
     from lapishaven.ownership.settings import OwnershipError, load
 
     try:
-        class_names = [request_class.name for request_class in files.config.settings.classes]
-        return Participant(load(path), files.config.name, files.contracts, class_names)
+        return Participant(load(path), files.config.name, files.contracts)
     except OwnershipError as error:
         fail(str(error))
 
--- a/lapishaven/config/contracts.py
+++ b/lapishaven/config/contracts.py
@@ -7,7 +7,7 @@
 
 from lapishaven.admission import Settings
 from lapishaven.config.values import ConfigError, positive_number, read_toml
-from lapishaven.core.contracts import Contract
+from lapishaven.core.contracts import Contract, Party
 
 KEYS = {"team", "service", "class", "deadline_s", "route", "rate", "burst"}
 MIN_BURST = 1  # requests; a token bucket that holds less than one token never admits a request
@@ -21,17 +21,16 @@
     rows = read_toml(path).get("contract")
     if not isinstance(rows, list) or not rows:
         raise ConfigError(f"{path}: at least one [[contract]] table is required")
-    contracts: dict[tuple[str, str, int], Contract] = {}
+    contracts: dict[Party, Contract] = {}
     for number, row in enumerate(rows, 1):
         position = f"{path}: contract {number}"
         contract = _parse_contract(row, position, settings, routes)
-        party = (contract.team, contract.service, contract.class_index)
-        if party in contracts:
+        if contract.party in contracts:
             raise ConfigError(
                 f"{position}: team {contract.team!r:.60}, service {contract.service!r:.60} and class"
                 f" {row['class']!r:.60} have a contract already"
             )
-        contracts[party] = contract
+        contracts[contract.party] = contract
     return list(contracts.values())
 
 
@@ -40,15 +39,16 @@
         raise ConfigError(
             f"{position}: expected exactly the keys {', '.join(sorted(KEYS))}, found {', '.join(map(str, row)):.200}"
         )
-    class_indexes = {request_class.name: index for index, request_class in enumerate(settings.classes)}
-    if row["class"] not in class_indexes:
-        raise ConfigError(f"{position}: unknown class {row['class']!r:.60}, expected one of {', '.join(class_indexes)}")
+    class_deadlines = {request_class.name: request_class.deadline for request_class in settings.classes}
+    if row["class"] not in class_deadlines:
+        raise ConfigError(
+            f"{position}: unknown class {row['class']!r:.60}, expected one of {', '.join(class_deadlines)}"
+        )
     if row["route"] not in routes:
         raise ConfigError(
             f"{position}: unknown route {row['route']!r:.60}, expected one of {', '.join(sorted(routes))}"
         )
-    class_index = class_indexes[row["class"]]
-    class_deadline = settings.classes[class_index].deadline
+    class_deadline = class_deadlines[row["class"]]
     try:
         deadline = positive_number(row, "deadline_s")
         rate = positive_number(row, "rate")
@@ -60,4 +60,4 @@
             f"{position}: deadline_s {deadline:g} exceeds the class's {class_deadline:g}"
             f" or burst {burst:g} is below {MIN_BURST}"
         )
-    return Contract(str(row["team"]), str(row["service"]), class_index, deadline, row["route"], rate, burst)
+    return Contract(str(row["team"]), str(row["service"]), row["class"], deadline, row["route"], rate, burst)
--- a/lapishaven/core/contracts.py
+++ b/lapishaven/core/contracts.py
@@ -11,7 +11,7 @@
 
     team: str
     service: str
-    class_index: int
+    class_name: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,7 +20,7 @@
 
     team: str
     service: str
-    class_index: int  # index of the class in the settings
+    class_name: str  # by name, as the index of a class may differ between the file's settings and the active ones
     deadline: float  # seconds; at most the deadline of the class
     route: str  # name of the backend that runs its requests
     rate: float  # requests per second by which the budget is refilled
@@ -29,7 +29,12 @@
     @property
     def party(self) -> Party:
         """The key under which the contract is looked up."""
-        return Party(self.team, self.service, self.class_index)
+        return Party(self.team, self.service, self.class_name)
+
+    @property
+    def name(self) -> str:
+        """The contract's name in stored data, the same on all servers."""
+        return f"{self.team}/{self.service}/{self.class_name}"
 
 
 @dataclass(frozen=True, slots=True)
--- a/lapishaven/core/submission_intake.py
+++ b/lapishaven/core/submission_intake.py
@@ -130,7 +130,8 @@
         """The contract that covers the submission; ``None`` if it needs none."""
         if self._contracts is None or submission.team is None:
             return None
-        return self._contracts.find(Party(submission.team, submission.service, submission.class_index))
+        class_name = self._settings.class_of(submission).name
+        return self._contracts.find(Party(submission.team, submission.service, class_name))
 
     def _denial(self, denied: Denied) -> Answer:
         self._counters.add("reasons", denied.reason)
--- a/lapishaven/ownership/participant.py
+++ b/lapishaven/ownership/participant.py
@@ -11,7 +11,7 @@
 import signal
 import sys
 import threading
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping
 from random import Random
 from typing import Any
 
@@ -28,7 +28,7 @@
 from lapishaven.ownership.model import Clock, Coordinator, CoordinatorError, MemberRecord, MemberState, SystemClock
 from lapishaven.ownership.notices import NoticeKind
 from lapishaven.ownership.overload import OverloadDetector
-from lapishaven.ownership.quota import NOT_GRANTED_HERE, QuotaClient, contract_name
+from lapishaven.ownership.quota import NOT_GRANTED_HERE, QuotaClient
 from lapishaven.ownership.restart_reporter import RestartReporter
 from lapishaven.ownership.settings import OwnershipError, OwnershipSettings, PeriodSettings
 
@@ -77,9 +77,8 @@
 class Participant:
     """A match server's membership in the fleet. The server calls the public methods on its event path.
 
-    ``classes`` are the names of the contracts' class indexes, which may differ between servers. ``log`` gets one JSON
-    line for each event of interest to operators. ``terminate`` is called on the reporter's thread when a rolling
-    restart permits this process to shut down.
+    ``log`` gets one JSON line for each event of interest to operators. ``terminate`` is called on the reporter's thread
+    when a rolling restart permits this process to shut down.
     """
 
     def __init__(
@@ -87,7 +86,6 @@
         settings: OwnershipSettings,
         name: str,
         contracts: list[Contract] | None,
-        classes: Sequence[str] = (),
         log: Callable[[str], None] | None = None,
         clock: Clock | None = None,
         terminate: Callable[[], None] = terminate_process,
@@ -108,9 +106,9 @@
         self._consumption = self._consumption_recorder()
         self._quota: QuotaClient | None = None
         if settings.budgets is not None and contracts:
-            self._quota = QuotaClient(name, settings.budgets, contracts, classes, self._clock)
+            self._quota = QuotaClient(name, settings.budgets, contracts, self._clock)
         self._restarts = RestartReporter(name, self.incarnation, settings.obeys_restarts, settings.supervised)
-        self.agent = self._agent(self._duties(contracts, classes))
+        self.agent = self._agent(self._duties(contracts))
         self._log_locked_files()
         self._overload = OverloadDetector(settings.overload) if settings.overload is not None else None
         # Totals since the start; written by the event path, read by the reporter.
@@ -152,12 +150,12 @@
             progress_coordinator=open_coordinator(self.settings, self._clock, self._observe_lock),
         )
 
-    def _duties(self, contracts: list[Contract] | None, classes: Sequence[str]) -> list[Duty]:
+    def _duties(self, contracts: list[Contract] | None) -> list[Duty]:
         duties: list[Duty] = []
         if self.settings.periods is not None:
             duties.append(self._period_closing(self.settings.periods))
         if self.settings.budgets is not None and contracts:
-            rates = {contract_name(contract, classes): contract.rate for contract in contracts}
+            rates = {contract.name: contract.rate for contract in contracts}
             duties.append(budgets.QuotaDistribution(rates, self.settings.budgets.span, self._worker_store.read))
         duties.append(restart.RollingRestart(self._worker_store.read, self._restart_token, self._serving_members))
         return duties
--- a/lapishaven/ownership/quota.py
+++ b/lapishaven/ownership/quota.py
@@ -5,7 +5,7 @@
 
 import sqlite3
 import threading
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from lapishaven.core.contracts import Contract
@@ -30,12 +30,6 @@
     round: int
 
 
-def contract_name(contract: Contract, classes: Sequence[str]) -> str:
-    """The contract's name in the store, the same on all servers although their class indexes may differ."""
-    class_name = classes[contract.class_index] if contract.class_index < len(classes) else str(contract.class_index)
-    return f"{contract.team}/{contract.service}/{class_name}"
-
-
 class QuotaClient:
     """Takes tokens of granted quota, reports demand and reads grants. ``take`` never waits for the store."""
 
@@ -44,25 +38,21 @@
         member: str,
         settings: BudgetSettings,
         contracts: Iterable[Contract],
-        classes: Sequence[str],
         clock: Clock,
     ) -> None:
         self.buckets = {
-            contract_name(contract, classes): budgets.QuotaBucket(
-                contract.rate, settings.members, settings.fallback_share, BURST_S
-            )
+            contract.name: budgets.QuotaBucket(contract.rate, settings.members, settings.fallback_share, BURST_S)
             for contract in contracts
         }
         self._member = member
         self._span = settings.span
-        self._classes = classes
         self._clock = clock
         self._lock = threading.Lock()  # protects the buckets; never held during a call to the store
         self._exchanges = 0
 
     def take(self, contract: Contract) -> float:
         """Take a token: returns 0 if one was available, else the seconds until one may be, or ``NOT_GRANTED_HERE``."""
-        bucket = self.buckets.get(contract_name(contract, self._classes))
+        bucket = self.buckets.get(contract.name)
         if bucket is None:
             return NOT_GRANTED_HERE
         with self._lock:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -35,6 +35,7 @@
 from lapishaven.connection_end import ConnectionEnd
 from lapishaven.core.contracts import Contract
 from lapishaven.net.loop import Loop
+from lapishaven.pools import PoolSettings
 from lapishaven.proto import uwsgi
 from lapishaven.proto.lines import LineBuffer
 from lapishaven.server import Server, ServerOptions
@@ -200,6 +201,7 @@
     banner: str | None = "WARM"
     backend: config.UwsgiBackendConfig | None = None
     contracts: list[Contract] | None = None
+    pools: PoolSettings | None = None
     store: SqliteAttemptLog | None = None
     settings: dict[str, Any] = SETTINGS
     inherits = False  # whether the callers' listening socket is inherited from another process (``held``)
@@ -228,7 +230,9 @@
             attempt_log=self.store,
         )
         self.server = Server(
-            config.ConfigFiles(config.parse_config(text, environ), frontend, self.backend, contracts=self.contracts),
+            config.ConfigFiles(
+                config.parse_config(text, environ), frontend, self.backend, contracts=self.contracts, pools=self.pools
+            ),
             options,
         )
         self.peers: dict[str, Peer] = {}
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -473,10 +473,10 @@
         def take_budget(self, now: float, contract: Contract) -> float:
             return 2.5 if contract.team == "granted" else -1.0
 
-    terms = [Contract(team, "s", 0, 1.0, "interpreter", 1.0, 1.0) for team in ("granted", "own")]
+    terms = [Contract(team, "s", "c", 1.0, "interpreter", 1.0, 1.0) for team in ("granted", "own")]
     contracts = Contracts(terms, GrantedQuota())
-    assert contracts.find(Party("own", "s", 0)) is terms[1]
-    assert contracts.find(Party("own", "s", 1)) == Denied("no contract", None)
+    assert contracts.find(Party("own", "s", "c")) is terms[1]
+    assert contracts.find(Party("own", "s", "other")) == Denied("no contract", None)
     assert contracts.charge(0.0, terms[0]) == Denied("over budget", 2.5)
     assert contracts.charge(0.0, terms[1]) is None
     assert contracts.charge(0.0, terms[1]) == Denied("over budget", 1.0)
--- a/tests/test_ownership_participant.py
+++ b/tests/test_ownership_participant.py
@@ -15,7 +15,7 @@
 from lapishaven.ownership.participant import DUTY_SCHEMAS, Participant
 from lapishaven.ownership.settings import load
 
-CONTRACTS = [Contract("t", "s", 0, 1.0, "interpreter", 80.0, 80.0)]
+CONTRACTS = [Contract("t", "s", "fuzzy", 1.0, "interpreter", 80.0, 80.0)]
 
 
 def wait_for(description: str, condition: Callable[[], bool], timeout_s: float = 20.0) -> None:
@@ -33,7 +33,7 @@
         "[lease]\nttl_s = 0.6\nmargin_s = 0.1\nsettle_s = 0.0\n[periods]\nshards = 2\nlength_s = 0.5\ngrace_s = 0.1\n"
         "[budgets]\nspan_s = 1.2\nfallback = 0.1\nmembers = 2\n"
     )
-    by_name = {name: Participant(load(str(path)), name, CONTRACTS, ["fuzzy"], lambda text: None) for name in ("a", "b")}
+    by_name = {name: Participant(load(str(path)), name, CONTRACTS, lambda text: None) for name in ("a", "b")}
     for participant in by_name.values():
         participant.start()
     wait_for(
--- a/tests/test_product.py
+++ b/tests/test_product.py
@@ -23,8 +23,8 @@
 class ContractScenarios(World):
     backend = config.UwsgiBackendConfig(("127.0.0.1", 3), "/run/")
     contracts = [
-        Contract("team", "editor", 0, 2.0, "interpreter", 1.0, 2.0),
-        Contract("team", "pipeline", 1, 3.8, "uwsgi", 10.0, 10.0),
+        Contract("team", "editor", "fuzzy-match", 2.0, "interpreter", 1.0, 2.0),
+        Contract("team", "pipeline", "approve-commit", 3.8, "uwsgi", 10.0, 10.0),
     ]
 
     def setUp(self) -> None:
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -228,7 +228,7 @@
     """Each check that can refuse a request, against a repeat in each state of its original."""
 
     settings = settings([{}, KEYED])
-    contracts = [Contract("team", "gateway", 1, DEADLINE_S, "interpreter", rate=0.001, burst=3.0)]
+    contracts = [Contract("team", "gateway", "approve-commit", DEADLINE_S, "interpreter", rate=0.001, burst=3.0)]
 
     @property
     def broker(self) -> Broker:
