Backends: take the time limit with each run, so classes of a reload are known

A run of a class that a reload had added raised within the turn; it was never sent and kept its place until 60 s past its due time.

Change: Backend.start is given the time limit. A Request holds its class as it was at the arrival; its deadline goes with the run, and its window, not that of the settings at the run's start, to the execution guard.

Two tests and a benchmark follow the signature.

--- a/benchmarks/shared_effects.py
+++ b/benchmarks/shared_effects.py
@@ -63,7 +63,7 @@
         began_at = time.perf_counter()
         if peers is not None:
             peers.advance(time.monotonic())
-        if guard.claim(time.monotonic(), submission, settings) is not None:
+        if guard.claim(time.monotonic(), submission, settings.classes[-1]) is not None:
             raise RuntimeError(f"run {number} was not claimed")
         guard.run_ended(submission, result)
         costs_s.append(time.perf_counter() - began_at)
--- a/lapishaven/backends/interpreter.py
+++ b/lapishaven/backends/interpreter.py
@@ -70,8 +70,8 @@
         self._stopped = False
 
     # ---- Commands
-    def start(self, attempt_id: str, class_name: str, body: bytes, at_most_once: bool) -> None:
-        """Start a run, on the next link if there is no usable one."""
+    def start(self, attempt_id: str, class_name: str, body: bytes, at_most_once: bool, time_limit_s: float) -> None:
+        """Start a run, on the next link if there is no usable one. The interpreter is given no time limit."""
         self._running.add(attempt_id)
         self._send(
             Command(
--- a/lapishaven/backends/load_balanced.py
+++ b/lapishaven/backends/load_balanced.py
@@ -31,7 +31,6 @@
         loop: the event loop.
         settings: endpoints and limits.
         cores: total number of cores of all endpoints, from which their utilization is estimated.
-        deadlines: in seconds, by class.
         listener: receives the ends of runs and load samples.
         counters: for operators.
         random: seeded differently in each server, so that servers with the same load data choose differently.
@@ -43,7 +42,6 @@
         loop: Loop,
         settings: BalancingSettings,
         cores: int,
-        deadlines: dict[str, float],
         listener: BackendListener,
         counters: Counters,
         random: Random,
@@ -52,7 +50,6 @@
         self.loop = loop
         self.settings = settings
         self.cores = cores
-        self.deadlines = deadlines
         self.listener = listener
         self.counters = counters
         self._dial = dial
@@ -79,12 +76,10 @@
         self.set_addresses((address,))
 
     # ---- Commands
-    def start(self, attempt_id: str, class_name: str, body: bytes, at_most_once: bool) -> None:
+    def start(self, attempt_id: str, class_name: str, body: bytes, at_most_once: bool, time_limit_s: float) -> None:
         """Run a request; ``at_most_once`` if it is not idempotent."""
         now = self.loop.now
-        self._dispatcher.dispatch(
-            BalancedRun(attempt_id, class_name, body, at_most_once, now, now + self.deadlines[class_name])
-        )
+        self._dispatcher.dispatch(BalancedRun(attempt_id, class_name, body, at_most_once, now, now + time_limit_s))
 
     def pause(self, attempt_id: str) -> None:
         """Cancel a run by closing its connection."""
--- a/lapishaven/backends/uwsgi.py
+++ b/lapishaven/backends/uwsgi.py
@@ -29,18 +29,16 @@
         address: tuple[str, int],
         path: str,
         cores: int,
-        deadlines: dict[str, float],
         listener: BackendListener,
         counters: Counters,
         dial: Dial = connect,
     ) -> None:
-        """``path`` is the URL prefix of classes, ``cores`` the uwsgi server's; ``deadlines``: seconds by class."""
+        """``path`` is the URL prefix of classes, ``cores`` the uwsgi server's."""
         self.loop = loop
         self.address = address
         self.counters = counters
         self._path = path
         self._cores = cores
-        self._deadlines = deadlines
         self._listener = listener
         self._dial = dial
         self._running: dict[str, Connection | None] = {}  # by attempt id; None while dialling
@@ -57,10 +55,12 @@
         """Send new attempts to this address; attempts in flight continue on their own connections."""
         self.address = address
 
-    def start(self, attempt_id: str, class_name: str, body: bytes, at_most_once: bool) -> None:
+    def start(self, attempt_id: str, class_name: str, body: bytes, at_most_once: bool, time_limit_s: float) -> None:
         """Send an attempt on a new connection; it is never sent twice."""
         self._running[attempt_id] = None
-        self.loop.spawn(self._attempt(attempt_id, class_name, body), lambda error: self._attempt_failed(attempt_id))
+        self.loop.spawn(
+            self._attempt(attempt_id, class_name, body, time_limit_s), lambda error: self._attempt_failed(attempt_id)
+        )
 
     def _attempt_failed(self, attempt_id: str) -> None:
         """The attempt's coroutine has ended by an unexpected exception."""
@@ -99,7 +99,9 @@
         callback(not isinstance(sock, ConnectionEnd))
 
     # ---- One attempt
-    def _attempt(self, attempt_id: str, class_name: str, body: bytes) -> Generator[Wait, Any, None]:
+    def _attempt(
+        self, attempt_id: str, class_name: str, body: bytes, time_limit_s: float
+    ) -> Generator[Wait, Any, None]:
         started_at = self.loop.now
         sock = yield from self._dial(self.loop, self.address, DIAL_TIMEOUT_S)
         if isinstance(sock, ConnectionEnd):
@@ -111,7 +113,7 @@
             conn.close(ConnectionEnd.ABANDONED, unsent=False)
         variables = {"REQUEST_METHOD": "POST", "PATH_INFO": self._path + class_name, "HTTP_X_REQUEST_ID": attempt_id}
         conn.write(proto.encode_request(variables, body))
-        outcome, result, _ = yield from read_response(self.loop, conn, started_at + self._deadlines[class_name])
+        outcome, result, _ = yield from read_response(self.loop, conn, started_at + time_limit_s)
         self._report_end(attempt_id, outcome, self.loop.now - started_at, result)
 
     def _report_end(self, attempt_id: str, outcome: Outcome, elapsed: float, result: bytes = b"") -> None:
--- a/lapishaven/core/execution_guard.py
+++ b/lapishaven/core/execution_guard.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from lapishaven.admission import Idempotency, Settings
+from lapishaven.admission import Idempotency, RequestClass, Settings
 from lapishaven.core.deduplication import ClaimRegistry
 from lapishaven.core.peer_effect_table import PeerEffect
 from lapishaven.core.peer_effects import ClaimRefusal, PeerEffects
@@ -38,13 +38,14 @@
         self.attempts = ClaimRegistry(ATTEMPT_RETENTION_S, limit)
         self.effects = ClaimRegistry(EFFECT_RETENTION_S, limit)
 
-    def claim(self, now: float, submission: Submission, settings: Settings) -> Answer | PeerEffect | None:
+    def claim(self, now: float, submission: Submission, request_class: RequestClass) -> Answer | PeerEffect | None:
         """Record a run as started and return ``None``, or return the answer to send if it must not start.
 
-        A run must not start if it was started before or cannot be recorded. Runs of idempotent classes may always
-        start and are not recorded. If another process runs or has run the effect, that is returned.
+        ``request_class`` is the class as it was when the submission arrived: its window counts. A run must not start if
+        it was started before or cannot be recorded. Runs of idempotent classes may always start and are not recorded.
+        If another process runs or has run the effect, that is returned.
         """
-        if settings.classes[submission.class_index].idempotency is Idempotency.IDEMPOTENT:
+        if request_class.idempotency is Idempotency.IDEMPOTENT:
             return None
         has_key = submission.idempotency_key is not None
         effect = (submission.class_index, submission.idempotency_key)
@@ -54,13 +55,12 @@
         if self.attempts.is_full(now) or (has_key and self.effects.is_full(now)):
             return Answer(AnswerKind.REJECTED, reason="no room to remember its run", retry_after=FULL_RETRY_AFTER_S)
         self.attempts.claim(now, submission.attempt_id)
-        retention_s = self._effect_retention(settings, submission.class_index)
+        retention_s = self._effect_retention(request_class)
         if has_key:
             self.effects.claim(now, effect, retention_s)
         if self.peers is None:
             return None
-        class_name = settings.classes[submission.class_index].name
-        return self._claim_among_peers(self.peers, submission, class_name, retention_s)
+        return self._claim_among_peers(self.peers, submission, request_class.name, retention_s)
 
     def _claim_among_peers(
         self, peers: PeerEffects, submission: Submission, class_name: str, retention_s: float
@@ -124,13 +124,12 @@
         """Record an effect that an earlier process started."""
         self.effects.claim(started_at, (class_index, key))
 
-    def _effect_retention(self, settings: Settings, class_index: int) -> float:
+    def _effect_retention(self, request_class: RequestClass) -> float:
         """Seconds for which duplicates of an effect that starts now may still arrive.
 
         A class's idempotency window starts when the attempt that runs arrives, and that attempt may have been queued
         for up to the class's deadline.
         """
-        request_class = settings.classes[class_index]
         window = request_class.idempotency_window
         if request_class.idempotency is Idempotency.WITH_KEY and window is not None:
             return window + request_class.deadline + CLOCK_SLACK_S
--- a/lapishaven/core/ports.py
+++ b/lapishaven/core/ports.py
@@ -26,8 +26,11 @@
 class Backend(Protocol):
     """Runs attempts and reports their end through ``Broker.run_finished``. No method blocks or raises."""
 
-    def start(self, attempt_id: str, class_name: str, body: bytes, at_most_once: bool) -> None:
-        """Start an attempt; with ``at_most_once`` it must not be sent again once it may have been received."""
+    def start(self, attempt_id: str, class_name: str, body: bytes, at_most_once: bool, time_limit_s: float) -> None:
+        """Start an attempt; with ``at_most_once`` it must not be sent again once it may have been received.
+
+        A backend that waits for a response gives up after ``time_limit_s`` seconds.
+        """
 
     def pause(self, attempt_id: str) -> None:
         """Stop a running attempt; its end is reported as cancelled unless it ended before that."""
--- a/lapishaven/core/requests.py
+++ b/lapishaven/core/requests.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from lapishaven.admission import RequestClass
     from lapishaven.core.peer_effect_table import PeerEffect
     from lapishaven.core.ports import Backend, Reply
     from lapishaven.core.source_fairness import RequestSource
@@ -91,6 +92,7 @@
 
     request_id: int  # u32 id in the controller's events and actions
     submission: Submission
+    request_class: RequestClass  # as it was at the arrival; a reload does not change it
     reply: Reply | None  # receives the answer; None once it was answered or its caller has gone
     arrived_at: float  # seconds on the host's clock
     deadline: float  # seconds on the host's clock by which it is answered
--- a/lapishaven/core/run_control.py
+++ b/lapishaven/core/run_control.py
@@ -67,7 +67,7 @@
         """
         if self._drain_state.arrived_after_grace(request.arrived_at, self._settings.current.drain_grace):
             return Answer(AnswerKind.REJECTED, reason="it came after the leave")
-        refusal = self._guard.claim(now, request.submission, self._settings.current)
+        refusal = self._guard.claim(now, request.submission, request.request_class)
         if isinstance(refusal, Answer) and refusal.kind is AnswerKind.REJECTED:
             self._counters.add("requests", "guard full")
         return refusal
@@ -75,7 +75,7 @@
     def _launch(self, request: Request) -> None:
         """Pass the run to the backend."""
         submission = request.submission
-        request_class = self._settings.class_of(submission)
+        request_class = request.request_class
         request.state = RequestState.RUNNING
         request.ran = True
         self._table.schedule_abandonment(request)
@@ -83,7 +83,9 @@
         self._counters.add(outcome_metrics.RELAYED, request_class.name)
         self._recorder.run_started(submission)
         at_most_once = request_class.idempotency is not Idempotency.IDEMPOTENT
-        request.backend.start(submission.attempt_id, request_class.name, submission.body, at_most_once)
+        request.backend.start(
+            submission.attempt_id, request_class.name, submission.body, at_most_once, request_class.deadline
+        )
 
     # ---- End of a run
     def finish(self, attempt_id: str, outcome: Outcome, elapsed: float, result: bytes) -> None:
--- a/lapishaven/core/submission_intake.py
+++ b/lapishaven/core/submission_intake.py
@@ -161,7 +161,8 @@
     # ---- Adding to the table
     def _add_request(self, now: float, submission: Submission, reply: Reply, contract: Contract | None) -> Request:
         """Add a submission to the table, with the earliest of the deadlines of its class, contract and caller."""
-        time_limit = self._settings.current.classes[submission.class_index].deadline
+        request_class = self._settings.class_of(submission)
+        time_limit = request_class.deadline
         backend = self._default_backend
         if contract is not None:
             time_limit = min(time_limit, contract.deadline)
@@ -173,6 +174,7 @@
         request = Request(
             request_id=self._table.new_id(),
             submission=submission,
+            request_class=request_class,
             reply=reply,
             arrived_at=arrived_at,
             deadline=arrived_at + time_limit,
--- a/lapishaven/lab/emulator.py
+++ b/lapishaven/lab/emulator.py
@@ -144,7 +144,7 @@
         self.wake(now)
 
     # ---- Backend
-    def start(self, handle: str, class_name: str, body: bytes, once: bool) -> None:
+    def start(self, handle: str, class_name: str, body: bytes, once: bool, time_limit_s: float) -> None:
         """Start a run of an admitted request."""
         emulator = self.emulator
         request = self.open_requests.get(handle)
--- a/lapishaven/server/assembly.py
+++ b/lapishaven/server/assembly.py
@@ -69,13 +69,11 @@
     by_name: dict[str, BackendDriver] = {}
     load_balanced: LoadBalancedBackend | None = None
     if files.backend is not None:
-        deadlines = {spec.name: spec.deadline for spec in config.settings.classes}
         by_name[UWSGI] = UwsgiBackend(
             loop,
             files.backend.address,
             files.backend.path,
             config.settings.cores,
-            deadlines,
             listener,
             counters,
             dial,
@@ -95,11 +93,10 @@
 
     assert files.spread is not None
     config = files.config
-    deadlines = {spec.name: spec.deadline for spec in config.settings.classes}
     # The seed includes the process id and the time: servers that share a configuration and a random sequence would
     # all choose the same endpoint at the same moment.
     random = Random(f"{config.seed}/{config.name}/{os.getpid()}/{time.time()}")
-    return LoadBalancedBackend(loop, files.spread, config.settings.cores, deadlines, listener, counters, random, dial)
+    return LoadBalancedBackend(loop, files.spread, config.settings.cores, listener, counters, random, dial)
 
 
 def build_load_endpoint(
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -423,9 +423,8 @@
         return theirs
         yield
 
-    deadlines = {"fuzzy-match": 5.6}
-    backend = UwsgiBackend(loop, ("127.0.0.1", 1), "/run/", 1, deadlines, Listener(), Counters(), dial)  # type: ignore[arg-type]
-    backend.start("attempt", "fuzzy-match", bytes(60_000), True)
+    backend = UwsgiBackend(loop, ("127.0.0.1", 1), "/run/", 1, Listener(), Counters(), dial)  # type: ignore[arg-type]
+    backend.start("attempt", "fuzzy-match", bytes(60_000), True, 5.6)
     loop.round(0, lambda now: None)
     if how == "cancelled":
         backend.pause("attempt")
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -66,3 +66,21 @@
             send u3 spell-check by=gateway
             expect u3 403
         """)
+
+
+class BackendOverReloads(ReloadWorld):
+    # Guards against a run that is never sent, as the backend knows the classes of the start alone, and keeps its place.
+    def test_a_class_that_is_added_runs_on_a_uwsgi_backend_within_its_own_time(self) -> None:
+        self.reload(MATCH, COMMIT, CHECK)
+        self.play("""
+            send c1 1 spell-check
+            expect up spell-check c1.1
+            send up 200 c1.1
+            expect c1 result 1
+            send c1 2 spell-check
+            expect up spell-check c1.2
+            wait 2.7
+            expect c1 nothing
+            wait 0.4
+            expect c1 failed 2
+        """)
--- a/tests/test_uwsgi_backend.py
+++ b/tests/test_uwsgi_backend.py
@@ -26,10 +26,8 @@
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.loop, self.counters = Loop(), Counters()
         self.ends: list[tuple[Outcome, bytes]] = []
-        self.backend = UwsgiBackend(
-            self.loop, self.listener.getsockname(), "/run/", 4, {CLASS: 2.0}, self, self.counters
-        )
-        self.backend.start("attempt", CLASS, b"body", at_most_once=True)
+        self.backend = UwsgiBackend(self.loop, self.listener.getsockname(), "/run/", 4, self, self.counters)
+        self.backend.start("attempt", CLASS, b"body", at_most_once=True, time_limit_s=2.0)
         self.until(lambda: self.backend._running["attempt"] is not None, "the backend's connection")
         self.connection, _ = self.listener.accept()
         self.connection.recv(4096)
