Reload: pools take new classes, and a reload is taken whole or put back

The reload had been counted as done before anything was applied. A dropped class that came back alone was compared with the kept settings, so the change went unseen.

Change: Pools.apply_settings takes rules and settings; Capacity and RunLimit take theirs. The offered classes follow the file.

A test of pools follows the signature.

--- a/lapishaven/pools/capacity.py
+++ b/lapishaven/pools/capacity.py
@@ -87,6 +87,12 @@
         self._detector = SpeedDetector()
         self._profile = ConcurrencyProfile()
 
+    def apply_settings(self, now: float, cores: int, initial_work: list[float]) -> None:
+        """Apply reloaded settings; classes keep their index, and of added ones the ``initial_work`` is assumed."""
+        self._advance(now)
+        self._cores = cores
+        self._work.add_classes(initial_work)
+
     # Measurement
 
     def run_started(self, now: float, request_id: int, class_index: int) -> None:
--- a/lapishaven/pools/pools.py
+++ b/lapishaven/pools/pools.py
@@ -27,6 +27,11 @@
 OBJECTIVE_MISSED = "past its aim"
 
 
+def _initial_work(settings: Settings) -> list[float]:
+    """The work that is assumed of a run until runs of its class were measured, by class."""
+    return [INITIAL_OBJECTIVE_SHARE * request_class.latency_objective for request_class in settings.classes]
+
+
 class Pools:
     """Implements ``AdmissionPools``: divides the work among pools by their shares, and rejects with a Retry-After.
 
@@ -40,7 +45,7 @@
         self.settings = settings
         self.capacity = Capacity(
             settings.cores,
-            [INITIAL_OBJECTIVE_SHARE * request_class.latency_objective for request_class in settings.classes],
+            _initial_work(settings),
             settings.slow_start_initial_speed if settings.slow_start else 1.0,
             settings.slow_start_span if settings.slow_start else 0.0,
             now,
@@ -50,28 +55,47 @@
         self.run_limit = RunLimit(settings.cores, settings.collapse_concurrency)
         self.worst_concurrency = 0.0
         """The highest number of runs per core so far."""
+        self._pool_of_class: list[int] = []  # index of its pool, by class index
+        self.pools: list[Pool] = []
         self._build_pools(rules)
 
     def _build_pools(self, rules: PoolSettings) -> None:
         self.rules = rules
+        self._pool_of_class = self._assign_classes(rules)
         self.pools = [Pool(rule.name, rule.share, rule.ceiling) for rule in rules.pools]
         self.ready = ReadyQueue([rule.share for rule in rules.pools])
-        class_names = [request_class.name for request_class in self.settings.classes]
-        self._pool_of_class = {
-            class_names.index(name): index for index, rule in enumerate(rules.pools) for name in rule.classes
-        }
         self._reserve_pool: int | None = None  # index of the pool with the reserve
         if rules.reserve is not None:
             self._reserve_pool = [rule.name for rule in rules.pools].index(rules.reserve.pool)
             pool = self.pools[self._reserve_pool]
             pool.ceiling = min(pool.ceiling, rules.reserve.ceiling)
 
-    def apply_settings(self, now: float, rules: PoolSettings) -> None:
-        """Apply reloaded rules.
+    def _assign_classes(self, rules: PoolSettings) -> list[int]:
+        """The index of the pool of each class.
+
+        A class that is no longer offered is in no rule. Its open requests keep their pool, by its name, or come into
+        the first one if that is gone.
+        """
+        pool_names = [rule.name for rule in rules.pools]
+        assigned = {name: index for index, rule in enumerate(rules.pools) for name in rule.classes}
+        indexes: list[int] = []
+        for class_index, request_class in enumerate(self.settings.classes):
+            index = assigned.get(request_class.name)
+            if index is None:
+                kept_name = self.pools[self._pool_of_class[class_index]].name
+                index = pool_names.index(kept_name) if kept_name in pool_names else 0
+            indexes.append(index)
+        return indexes
+
+    def apply_settings(self, now: float, rules: PoolSettings, settings: Settings) -> None:
+        """Apply reloaded rules and the reloaded settings, in which classes keep their index and added ones come last.
 
         Queued requests stay queued. Running requests count for the new pool of their class. A pool that is
         thereby above its new ceiling starts no run until it is below it.
         """
+        self.settings = settings
+        self.capacity.apply_settings(now, settings.cores, _initial_work(settings))
+        self.run_limit.apply_settings(settings.cores, settings.collapse_concurrency)
         queued = self.ready.entries()
         previous = {pool.name: pool for pool in self.pools}
         self._build_pools(rules)
--- a/lapishaven/pools/run_limit.py
+++ b/lapishaven/pools/run_limit.py
@@ -14,10 +14,14 @@
     __slots__ = ("_cores", "_max_runs_per_core", "limit")
 
     def __init__(self, cores: int, collapse_concurrency: float) -> None:
+        self.limit = float(cores)
+        """Number of runs that may be in progress."""
+        self.apply_settings(cores, collapse_concurrency)
+
+    def apply_settings(self, cores: int, collapse_concurrency: float) -> None:
+        """Apply reloaded settings; the limit adapts to them with the next load samples."""
         self._cores = float(cores)
         self._max_runs_per_core = collapse_concurrency * SAFE_SHARE
-        self.limit = self._cores
-        """Number of runs that may be in progress."""
 
     def step(self, cpu_utilization: float | None, running: int, has_queue: bool, max_concurrency: float) -> None:
         """Adapt the limit to a load sample.
--- a/lapishaven/pools/work_estimate.py
+++ b/lapishaven/pools/work_estimate.py
@@ -18,11 +18,19 @@
     __slots__ = ("_ratio", "_ratio_at", "_runs", "_work")
 
     def __init__(self, initial_work: list[float]) -> None:
-        count = len(initial_work)
-        self._work = list(initial_work)
-        self._runs = [0] * count
-        self._ratio = [1.0] * count  # of recent runs to the estimated work
-        self._ratio_at = [float("-inf")] * count
+        self._work: list[float] = []
+        self._runs: list[int] = []
+        self._ratio: list[float] = []  # of recent runs to the estimated work
+        self._ratio_at: list[float] = []
+        self.add_classes(initial_work)
+
+    def add_classes(self, initial_work: list[float]) -> None:
+        """Add the classes beyond those that are known, with the work that is assumed of each; the others stay."""
+        added = initial_work[len(self._work) :]
+        self._work += added
+        self._runs += [0] * len(added)
+        self._ratio += [1.0] * len(added)
+        self._ratio_at += [float("-inf")] * len(added)
 
     def work(self, class_index: int) -> float:
         """The work of a run of the class at normal speed."""
--- a/lapishaven/server/config_reload.py
+++ b/lapishaven/server/config_reload.py
@@ -1,6 +1,8 @@
 """Reloads the configuration on SIGHUP.
 
-Open requests, runs and connections continue. If any file is invalid, nothing changes.
+Open requests, runs and connections continue. All files are read and checked against each other and against the running
+server before any part takes its new settings. If any file is invalid, or a part cannot take its settings, nothing
+changes.
 """
 
 from __future__ import annotations
@@ -9,6 +11,7 @@
 from dataclasses import replace
 
 from lapishaven.admission import Settings
+from lapishaven.admission.settings import check_reload, check_settings
 from lapishaven.config import ConfigError, ConfigFiles, NodeConfig, keep_class_numbers
 from lapishaven.core.contracts import Contracts
 from lapishaven.core.ports import FleetMember
@@ -18,7 +21,7 @@
 from lapishaven.server.broker_host import BrokerHost
 from lapishaven.server.catalog_reporter import CatalogReporter
 from lapishaven.server.graceful_shutdown import GracefulShutdown
-from lapishaven.server.running_config import RunningConfig
+from lapishaven.server.running_config import RunningConfig, RunningSnapshot
 
 # Fields of ``NodeConfig``. A changed value is ignored until a restart, and logged.
 RESTART_ONLY_FIELDS = ("name", "listen", "descriptors", "memory_mb")
@@ -56,27 +59,80 @@
         """Read the files again and apply them; if one is invalid, log why and change nothing."""
         try:
             files = self._read()
-            settings = keep_class_numbers(self._running.config.settings, files.config.settings)
+            settings = self._check_settings(files.config.settings)
         except ConfigError as error:
-            self._counters.add("reloads", "failed")
-            self._log(f"configuration reload failed, the previous configuration stays in force: {error}")
+            self._fail(str(error))
+            return
+        before = self._running.snapshot()
+        try:
+            self._take(files, settings)
+        except Exception as error:
+            # A fault of the program: every value was checked. Half of a configuration must not stay in force.
+            self._put_back(before, settings)
+            self._fail(f"a part could not take its settings, {type(error).__name__}: {error}")
             return
         self._counters.add("reloads", "done")
-        before = self._running.config
-        self._apply_settings(settings, files.config)
-        self._update_backend_addresses(files)
-        self._reporter.move(files.config.catalog)
-        self._replace_contracts(files)
-        self._replace_pools(files)
-        self._running.config = replace(
-            before,
+        self._log_completed(before.config, files.config)
+
+    def _fail(self, reason: str) -> None:
+        self._counters.add("reloads", "failed")
+        self._log(f"configuration reload failed, the previous configuration stays in force: {reason}")
+
+    def _check_settings(self, new: Settings) -> Settings:
+        """The new settings with classes at their indexes, checked against those in force. Raises ``ConfigError``."""
+        in_force = self._running.config.settings
+        settings = keep_class_numbers(in_force, new)
+        try:
+            check_settings(settings)
+            check_reload(in_force, settings)
+        except ValueError as error:
+            raise ConfigError(f"settings: {error}") from None
+        return settings
+
+    def _take(self, files: ConfigFiles, settings: Settings) -> None:
+        """Give each part its new settings."""
+        running = self._running
+        has_new_settings = settings != running.config.settings
+        offered = {request_class.name for request_class in files.config.settings.classes}
+        classes = {spec.name: index for index, spec in enumerate(settings.classes) if spec.name in offered}
+        if classes != running.classes:
+            self._log(f"configuration reload: request classes are now {', '.join(classes)}")
+        running.classes = classes
+        running.config = replace(
+            running.config,
             interpreter=files.config.interpreter,
             catalog=files.config.catalog,
             stop_timeout_s=files.config.stop_timeout_s,
             settings=settings,
         )
-        self._shutdown.shorten(self._running.seconds_to_kill())
-        self._log_completed(before, files.config)
+        if running.contracts is not None and files.contracts is not None:
+            running.contracts = files.contracts
+        if running.pools is not None and files.pools is not None:
+            running.pools = files.pools
+        self._apply_to_core(has_new_settings)
+        self._update_backend_addresses(files)
+        self._reporter.move(files.config.catalog)
+        self._shutdown.shorten(running.seconds_to_kill())
+
+    def _put_back(self, before: RunningSnapshot, refused: Settings) -> None:
+        """Restore what was in force. Classes that ``refused`` added keep their index, and are not offered."""
+        added = refused.classes[len(before.config.settings.classes) :]
+        settings = replace(before.config.settings, classes=before.config.settings.classes + added)
+        self._running.restore(replace(before, config=replace(before.config, settings=settings)))
+        self._apply_to_core(has_new_settings=True)
+
+    def _apply_to_core(self, has_new_settings: bool) -> None:
+        """Give the core the running configuration, once it has been built."""
+        running, broker = self._running, self._core.broker
+        if broker is None:
+            return
+        settings = running.config.settings
+        if self._core.pools is not None and running.pools is not None:
+            self._core.pools.apply_settings(self._loop.now, running.pools, settings)
+        if has_new_settings:
+            broker.apply_settings(settings)
+        if running.contracts is not None:
+            broker.replace_contracts(Contracts(running.contracts, self._fleet))
 
     def _read(self) -> ConfigFiles:
         """Read and validate the files. Raises ``ConfigError``."""
@@ -90,18 +146,6 @@
             )
         return files
 
-    def _apply_settings(self, settings: Settings, config: NodeConfig) -> None:
-        """Apply settings whose classes keep their indexes; callers may use only the classes of the new file."""
-        if settings == self._running.config.settings:
-            return
-        if self._core.broker is not None:
-            self._core.broker.apply_settings(settings)
-        configured_classes = {spec.name for spec in config.settings.classes}
-        self._running.classes = {
-            spec.name: index for index, spec in enumerate(settings.classes) if spec.name in configured_classes
-        }
-        self._log(f"configuration reload: request classes are now {', '.join(self._running.classes)}")
-
     def _update_backend_addresses(self, files: ConfigFiles) -> None:
         """Give the backends their new addresses."""
         addresses = {INTERPRETER: files.config.interpreter}
@@ -113,20 +157,6 @@
             if name in addresses:
                 driver.change_address(addresses[name])
 
-    def _replace_contracts(self, files: ConfigFiles) -> None:
-        if files.contracts is None or self._running.contracts is None:
-            return
-        self._running.contracts = files.contracts
-        if self._core.broker is not None:
-            self._core.broker.replace_contracts(Contracts(files.contracts, self._fleet))
-
-    def _replace_pools(self, files: ConfigFiles) -> None:
-        if files.pools is None or self._running.pools is None:
-            return
-        self._running.pools = files.pools
-        if self._core.pools is not None:
-            self._core.pools.apply_settings(self._loop.now, files.pools)
-
     def _log_completed(self, before: NodeConfig, after: NodeConfig) -> None:
         ignored = [name for name in RESTART_ONLY_FIELDS if getattr(after, name) != getattr(before, name)]
         self._log(
--- a/lapishaven/server/running_config.py
+++ b/lapishaven/server/running_config.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from lapishaven.config import ConfigFiles, NodeConfig
@@ -12,6 +14,16 @@
     from lapishaven.pools import PoolSettings
 
 
+@dataclass(frozen=True, slots=True)
+class RunningSnapshot:
+    """The configuration in force at one time."""
+
+    config: NodeConfig
+    contracts: list[Contract] | None
+    pools: PoolSettings | None
+    classes: Mapping[str, int]
+
+
 class RunningConfig:
     """The configuration of the last successful load; reloads change it in place."""
 
@@ -24,6 +36,17 @@
         self.tenants = {tenant.name: index for index, tenant in enumerate(files.config.settings.tenants)}
         """Indexes of the tenants in the settings, by tenant name."""
 
+    def snapshot(self) -> RunningSnapshot:
+        """What is in force now."""
+        return RunningSnapshot(self.config, self.contracts, self.pools, dict(self.classes))
+
+    def restore(self, snapshot: RunningSnapshot) -> None:
+        """Put an earlier snapshot in force again."""
+        self.config = snapshot.config
+        self.contracts = snapshot.contracts
+        self.pools = snapshot.pools
+        self.classes = dict(snapshot.classes)
+
     def seconds_to_kill(self) -> float:
         """Seconds from SIGTERM to SIGKILL, at the least."""
         deadlines = [self.config.settings.classes[index].deadline for index in self.classes.values()]
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -306,7 +306,7 @@
         {**RULES["pool"][1], "share": 0.8},
         RULES["pool"][2],
     ]
-    harness.pools.apply_settings(harness.now, rules(pool=small_share))
+    harness.pools.apply_settings(harness.now, rules(pool=small_share), SITE)
     running = [harness.pools.running[id].class_index for id in started_ids]
     assert [pool.running for pool in harness.pools.pools] == [running.count(0), running.count(1), 0]
     assert len(harness.pools.ready) == 20 - len(started_ids)
