Core: a fault in one event, step or action loses no other of its batch

An exception lost the other events, the actions made so far and the next load sample; a start that raised kept its place until 60 s past its due time.

Change: core/batch_processor.py goes through events, Controller.steps and actions one by one. What a fault hits is answered at once and gives its place back; the fault is counted (module, faults), its traceback printed twenty times at most. Estimates of work have a lower bound: runs of no time on the clock made relative_weight divide by 0 with pools.

Tests: tests/test_batch_processor.py, four planted faults; none of the four passes on the code before. The cost for each event was not measured.

--- a/lapishaven/admission/controller.py
+++ b/lapishaven/admission/controller.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 from lapishaven.admission.actions import Action, SetHealth
 from lapishaven.admission.arrival import ArrivalHandler
@@ -55,6 +56,15 @@
         self._load_samples = LoadSampleHandler(rules)
         self._dispatcher = Dispatcher(rules, ending)
         self._has_started = False
+        self.steps: tuple[Callable[[float, list[Action]], None], ...] = (
+            self._start,
+            ending.reject_expired,
+            self._expire_reservations,
+            self._dependency.advance,
+            self._dispatcher.reject_hopeless,
+            self._dispatcher.start_runs,
+        )
+        """What is done after the events of each batch."""
 
     def apply_settings(self, settings: Settings) -> None:
         """Apply reloaded settings.
@@ -68,18 +78,27 @@
     def handle(self, now: float, events: list[Event]) -> list[Action]:
         """Decide on a batch of events at ``now``, in seconds on the host's monotonic clock."""
         actions: list[Action] = []
-        if not self._has_started:
-            self._start(now, actions)
         for event in events:
-            self._handle_event(event, now, actions)
-        self._ending.reject_expired(now, actions)
-        self.rules.reservations.expire(now)
-        self._dependency.advance(now, actions)
-        self._dispatcher.reject_hopeless(now, actions)
-        self._dispatcher.start_runs(now, actions)
+            self.handle_event(now, event, actions)
+        for step in self.steps:
+            step(now, actions)
         return actions
 
+    def handle_event(self, now: float, event: Event, actions: list[Action]) -> None:
+        """Process one event of a batch. After the last one of it, the ``steps`` are due, in their order."""
+        self._start(now, actions)
+        self._handle_event(event, now, actions)
+
+    def discard(self, request_id: int) -> None:
+        """Forget a request of which an event could not be processed, so that it takes no place of a run."""
+        request = self.rules.table.requests.get(request_id)
+        if request is not None:
+            self.rules.table.remove(request)
+
     def _start(self, now: float, actions: list[Action]) -> None:
+        """Begin, with the first batch; called in each."""
+        if self._has_started:
+            return
         self._has_started = True
         self.rules.concurrency.begin_slow_start(now)
         self.rules.signal.begin()
@@ -108,6 +127,9 @@
         else:
             self._ending.abandon(request, now, actions)
 
+    def _expire_reservations(self, now: float, actions: list[Action]) -> None:
+        self.rules.reservations.expire(now)
+
     def _begin_drain(self, event: DrainRequested, now: float, actions: list[Action]) -> None:
         rules = self.rules
         rules.drain.begin(now, event.kill_at)
--- a/lapishaven/core/broker.py
+++ b/lapishaven/core/broker.py
@@ -15,6 +15,7 @@
 )
 from lapishaven.core.action_executor import ActionExecutor
 from lapishaven.core.active_settings import ActiveSettings
+from lapishaven.core.batch_processor import BatchProcessor
 from lapishaven.core.contracts import Contracts
 from lapishaven.core.core_state import CoreState
 from lapishaven.core.drain_state import DrainState
@@ -116,7 +117,8 @@
         self._lifecycle = RequestLifecycle(state)
         durable = DurableExecution(result_store, state, self._lifecycle) if result_store is not None else None
         self._runs = RunControl(state, self._lifecycle, durable)
-        self._executor = ActionExecutor(state, self._lifecycle, self._runs, self._load_sampling, listener)
+        executor = ActionExecutor(state, self._lifecycle, self._runs, self._load_sampling, listener)
+        self._batches = BatchProcessor(self.controller, executor, self._runs, self._lifecycle, state)
         self._intake = SubmissionIntake(
             state, self._lifecycle, durable, contracts, backend, routes or {}, memory // OPEN_REQUESTS_DIVISOR
         )
@@ -231,9 +233,7 @@
             self._has_turned = True
             batch = self._events.copy()
             self._events.clear()
-            self.counters.add("module", "batches")
-            for action in self.controller.handle(now, batch):
-                self._executor.carry_out(now, action)
+            self._batches.process(now, batch)
         self._answer_overdue(now)
         self._give_up_abandoned_runs(now)
 
--- a/lapishaven/pools/work_estimate.py
+++ b/lapishaven/pools/work_estimate.py
@@ -33,8 +33,8 @@
         self._ratio_at += [float("-inf")] * len(added)
 
     def work(self, class_index: int) -> float:
-        """The work of a run of the class at normal speed."""
-        return self._work[class_index]
+        """The work of a run of the class at normal speed; above 0, as it is a divisor."""
+        return max(self._work[class_index], MIN_WORK_S)
 
     def mean(self) -> float:
         """The mean over all classes; 1 if it is 0."""
