Record: hold requests with a key until what earlier processes ran has been read

Beside a lock the read raised after 5 s of standstill, and the restarted coroutine found a broker that knew nothing: recorded commits ran again.

Meanwhile requests with a key of a class that may not run twice are held (RequestState.HELD); then known ones are failed and the others checked as on arrival. Held ones are failed at their due time, at a shutdown, or beyond the memory of open requests; never refused. The same answer for requests before the backend is up, at both frontends. The log's writer repeats a locked write instead of dropping it, and a file that is locked at the very start no longer ends the process.

--- a/lapishaven/attempt_log.py
+++ b/lapishaven/attempt_log.py
@@ -15,6 +15,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from lapishaven import sqlite
+
 SCHEMA = """
 create table if not exists record (
     at real not null, event text not null, handle text not null, class text not null,
@@ -22,6 +24,8 @@
 );
 create index if not exists record_key on record (event, class, key);
 """
+START_TIMEOUT_S = 0.2  # how long a starting process waits for a locked file before it goes on without it
+WRITE_WAIT_S = 1.0  # how long one try of the writer waits for a locked file
 QUEUE_LIMIT = 10_000  # entries waiting for the writer; further ones are dropped, as the event loop must not block
 
 
@@ -38,14 +42,30 @@
     detail: str  # outcome or type of answer; empty for a start
 
 
+@dataclass(frozen=True, slots=True)
+class StartedRun:
+    """A keyed run that was started and not proven to have had no effect."""
+
+    class_name: str
+    key: str
+    age_s: float  # seconds since its start
+
+
+class AttemptLogError(Exception):
+    """The log could not be read, as it is locked or damaged. The text names the file."""
+
+
 class AttemptLog(Protocol):
     """Records attempts and lists the recent ones."""
 
     def record(self, entry: LogEntry) -> None:
         """Queue an entry. Never blocks."""
 
-    def started(self, window_s: float) -> list[tuple[str, str, float]]:
-        """Class, key and age in seconds of keyed runs that started in the last ``window_s`` seconds, oldest first."""
+    def started(self, window_s: float, timeout_s: float) -> list[StartedRun]:
+        """The keyed runs that started in the last ``window_s`` seconds, oldest first.
+
+        Blocks for at most ``timeout_s`` seconds if the log is locked. Raises ``AttemptLogError``.
+        """
 
     def close(self) -> None:
         """Write all queued entries and stop the writer. Blocks until that is done."""
@@ -55,7 +75,7 @@
     """An attempt log in a SQLite file."""
 
     def __init__(self, path: str, on_dropped: Callable[[], None], wall_clock: Callable[[], float] = time.time) -> None:
-        """Open or create the file at ``path``. Raises ``sqlite3.Error``.
+        """Open or create the file at ``path``; one that is locked is used once it is free. Raises ``sqlite3.Error``.
 
         ``on_dropped`` is called for each entry that is lost, on the event loop or on the writer thread;
         ``wall_clock`` gives the time in Unix seconds.
@@ -63,10 +83,15 @@
         self._path = path
         self._on_dropped = on_dropped
         self._wall_clock = wall_clock
-        with closing(sqlite3.connect(path)) as database:
-            database.executescript(SCHEMA)
+        try:
+            with closing(sqlite3.connect(path, timeout=START_TIMEOUT_S)) as database:
+                database.executescript(SCHEMA)
+        except sqlite3.OperationalError as error:
+            if not sqlite.is_locked(error):
+                raise
         # Entries with the Unix time at which they were queued; None stops the writer.
         self._queue: queue.Queue[tuple[float, LogEntry] | None] = queue.Queue(QUEUE_LIMIT)
+        self._closing = threading.Event()  # set once locked writes are no longer repeated
         self._writer = threading.Thread(target=self._write, name="store", daemon=True)
         self._writer.start()
 
@@ -77,29 +102,35 @@
         except queue.Full:
             self._on_dropped()
 
-    def started(self, window_s: float) -> list[tuple[str, str, float]]:
-        """Class, key and age in seconds of keyed runs that started in the last ``window_s`` seconds, oldest first.
+    def started(self, window_s: float, timeout_s: float) -> list[StartedRun]:
+        """The keyed runs that started in the last ``window_s`` seconds, oldest first.
 
-        Runs that were proven never to have run are left out. Blocks while it reads the file.
+        Runs that were proven never to have run are left out. Blocks for at most ``timeout_s`` seconds if the file is
+        locked, and while it reads. Raises ``AttemptLogError``.
         """
         now = self._wall_clock()
-        with closing(sqlite3.connect(self._path)) as database:
-            rows = database.execute(
-                "select class, key, max(at) from record"
-                " where event in ('started', 'unrun') and key is not null and at > ?"
-                " group by class, key having sum(iif(event = 'started', 1, -1)) > 0 order by max(at)",
-                (now - window_s,),
-            ).fetchall()
-        return [(cls, key, max(0.0, now - at)) for cls, key, at in rows]
+        try:
+            with closing(sqlite3.connect(self._path, timeout=timeout_s)) as database:
+                database.executescript(SCHEMA)
+                rows = database.execute(
+                    "select class, key, max(at) from record"
+                    " where event in ('started', 'unrun') and key is not null and at > ?"
+                    " group by class, key having sum(iif(event = 'started', 1, -1)) > 0 order by max(at)",
+                    (now - window_s,),
+                ).fetchall()
+        except sqlite3.Error as error:
+            raise AttemptLogError(f"{self._path}: {error}") from None
+        return [StartedRun(class_name, key, max(0.0, now - at)) for class_name, key, at in rows]
 
     def close(self) -> None:
         """Write all queued entries and stop the writer. Blocks until that is done."""
+        self._closing.set()
         self._queue.put(None)
         self._writer.join()
 
     def _write(self) -> None:
         """Write batches until ``close`` is called. Runs on the writer thread."""
-        with closing(sqlite3.connect(self._path)) as database:
+        with closing(sqlite3.connect(self._path, timeout=WRITE_WAIT_S)) as database:
             closed = False
             while not closed:
                 batch = self._next_batch()
@@ -114,14 +145,23 @@
         return batch
 
     def _write_batch(self, database: sqlite3.Connection, entries: list[tuple[float, LogEntry]]) -> None:
-        """Write entries in one transaction; if it fails, all of them are dropped."""
+        """Write entries in one transaction; if it fails, all of them are dropped.
+
+        While another process holds the file locked, the write is repeated until ``close`` is called.
+        """
         rows = [
             (at, entry.event, entry.handle, entry.cls, entry.key, entry.team, entry.service, entry.detail)
             for at, entry in entries
         ]
-        try:
-            with database:
-                database.executemany("insert into record values (?, ?, ?, ?, ?, ?, ?, ?)", rows)
-        except sqlite3.Error:
-            for _ in rows:
-                self._on_dropped()
+        while True:
+            try:
+                database.executescript(SCHEMA)  # the file may have been locked as the process started
+                with database:
+                    database.executemany("insert into record values (?, ?, ?, ?, ?, ?, ?, ?)", rows)
+                return
+            except sqlite3.Error as error:
+                if sqlite.is_locked(error) and not self._closing.is_set():
+                    continue
+                for _ in rows:
+                    self._on_dropped()
+                return
--- a/lapishaven/core/broker.py
+++ b/lapishaven/core/broker.py
@@ -74,6 +74,7 @@
         pools: AdmissionPools | None = None,
         result_store: ResultStore | None = None,
         peers: PeerEffects | None = None,
+        holds_keyed: bool = False,
     ) -> None:
         """Build the core.
 
@@ -89,6 +90,7 @@
             memory: the process's memory in bytes; fixed fractions of it limit the execution guard and stored results.
             pools: capacity by class; ``None``: all classes share it.
             result_store: keeps results across restarts; ``None``: they are not kept.
+            holds_keyed: whether requests with a key are held until ``earlier_runs_known`` is called.
             peers: what other processes of this server run; ``None``: there are no others.
         """
         self.counters = counters
@@ -120,7 +122,14 @@
         executor = ActionExecutor(state, self._lifecycle, self._runs, self._load_sampling, listener)
         self._batches = BatchProcessor(self.controller, executor, self._runs, self._lifecycle, state)
         self._intake = SubmissionIntake(
-            state, self._lifecycle, durable, contracts, backend, routes or {}, memory // OPEN_REQUESTS_DIVISOR
+            state,
+            self._lifecycle,
+            durable,
+            contracts,
+            backend,
+            routes or {},
+            memory // OPEN_REQUESTS_DIVISOR,
+            holds_keyed,
         )
 
     @property
@@ -173,9 +182,13 @@
         self._load_sampling.deliver(gauges)
 
     # ---- Restart and reload
-    def remember_run(self, now: float, class_index: int, key: str, age: float) -> None:
-        """Record a run that an earlier process started ``age`` seconds ago, so that its effect is not repeated."""
-        self.guard.remember(now - age, class_index, key)
+    def remember_run(self, started_at: float, class_index: int, key: str) -> None:
+        """Record a run that an earlier process started at ``started_at``, so that its effect is not repeated."""
+        self.guard.remember(started_at, class_index, key)
+
+    def earlier_runs_known(self, now: float) -> None:
+        """Go on with the requests that were held: all runs of earlier processes have been recorded."""
+        self._intake.release_held(now)
 
     def replace_contracts(self, contracts: Contracts | None) -> None:
         """Apply reloaded contracts; a party that is still listed keeps its budget."""
--- a/lapishaven/core/submission_intake.py
+++ b/lapishaven/core/submission_intake.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from lapishaven.admission import RequestArrived
 from lapishaven.core.contracts import Contract, Contracts, Denied, Party
@@ -11,7 +12,7 @@
 from lapishaven.core.idempotency_keys import KeyEntry
 from lapishaven.core.peer_effect_table import PeerEffect
 from lapishaven.core.ports import Backend, Reply
-from lapishaven.core.repeats import Original, Repeats
+from lapishaven.core.repeats import RAN_BEFORE, Original, Repeats
 from lapishaven.core.request_lifecycle import NEVER_RAN_RETRY_AFTER_S, RequestLifecycle
 from lapishaven.core.request_table import memory_of
 from lapishaven.core.requests import Answer, AnswerKind, Request, RequestState, Submission
@@ -30,6 +31,17 @@
 """The answer to a request that this process has no memory for."""
 
 
+MAY_HAVE_RUN_BEFORE = Answer(AnswerKind.FAILED, reason="what ran before is not known yet, and it may have run")
+"""The answer to a submission that cannot be held until the runs of earlier processes are known."""
+
+
+class HeldRequest(NamedTuple):
+    """A request that waits until the runs of earlier processes are known, and the contract that covers it."""
+
+    request: Request
+    contract: Contract | None
+
+
 class SubmissionIntake:
     """Checks each submission, in this order.
 
@@ -51,9 +63,12 @@
         default_backend: Backend,
         routes: Mapping[str, Backend],
         memory_limit: int,
+        holds_keyed: bool,
     ) -> None:
         """Open requests may take ``memory_limit`` bytes of this process, whatever memory callers book for them.
 
+        ``holds_keyed``: whether submissions with a key are held until ``release_held``, as they may have run before.
+
         ``contracts`` is ``None`` if no contracts are checked, ``durable`` if no result store is configured.
 
         ``routes`` maps the route names in contracts to backends.
@@ -72,6 +87,7 @@
         self._default_backend = default_backend
         self._routes = routes
         self._memory_limit = memory_limit
+        self._held: list[HeldRequest] | None = [] if holds_keyed else None  # None: none is held any more
 
     def replace_contracts(self, contracts: Contracts | None) -> None:
         """Apply reloaded contracts, keeping the budgets of those that remain, if contracts were checked before."""
@@ -88,12 +104,16 @@
             self._lifecycle.send(submission, reply, self._denial(contract))
             return None
         repeat = self._repeats.resolve(now, submission)
-        answer = self._refuse(now, submission, contract) if repeat is None else self._answer_repeat(repeat)
+        key = self._repeats.key_of(submission)
+        is_held = self._held is not None and key is not None and repeat is None
+        if repeat is not None:
+            answer = self._answer_repeat(repeat)
+        else:
+            answer = self._refuse_held(submission) if is_held else self._refuse(now, submission, contract)
         if answer is not None:
             self._lifecycle.send(submission, reply, answer)
             return None
         request = self._add_request(now, submission, reply, contract)
-        key = self._repeats.key_of(submission)
         if isinstance(repeat, KeyEntry):
             request.duplicate_of = repeat.request_id
         elif isinstance(repeat, PeerEffect):
@@ -101,9 +121,39 @@
             request.awaited_effect = repeat
         elif key is not None:
             self._keys.open(key, request.request_id, submission.body_digest)
-        self._queue_arrival(now, request, self._has_own_deadline(submission, contract))
+        if is_held and self._held is not None:
+            request.state = RequestState.HELD
+            self._held.append(HeldRequest(request, contract))
+        else:
+            self._queue_arrival(now, request, self._has_own_deadline(submission, contract))
         return request
 
+    # ---- Submissions that may have run in an earlier process
+    def _refuse_held(self, submission: Submission) -> Answer | None:
+        """The answer to a submission that cannot be held, ``None`` if it can; it may have run, so it is failed."""
+        has_room = self._table.held_bytes + memory_of(submission) <= self._memory_limit
+        return None if has_room and not self._drain_state.closed else MAY_HAVE_RUN_BEFORE
+
+    def release_held(self, now: float) -> None:
+        """Check the held requests: all effects that earlier processes may have run have been remembered."""
+        held, self._held = self._held or [], None
+        for request, contract in held:
+            if request.state is RequestState.HELD:
+                self._release(now, request, contract)
+
+    def _release(self, now: float, request: Request, contract: Contract | None) -> None:
+        submission = request.submission
+        request.state = RequestState.QUEUED
+        if self._guard.is_known_effect(now, submission):
+            request.ran = True  # which its duplicates are to be told
+            self._lifecycle.give_up(request, RAN_BEFORE)
+            return
+        refusal = self._refuse(now, submission, contract)
+        if refusal is not None:
+            self._lifecycle.give_up(request, refusal)
+        else:
+            self._queue_arrival(now, request, self._has_own_deadline(submission, contract))
+
     # ---- Checks
     def _answer_repeat(self, repeat: Answer | Original) -> Answer | None:
         """The answer to a repeat; ``None`` if it waits for the result of its original."""
--- a/lapishaven/frontends/__init__.py
+++ b/lapishaven/frontends/__init__.py
@@ -75,8 +75,8 @@
     def draining(self) -> bool:
         """Whether the shutdown notice has been received."""
 
-    def ran_elsewhere(self, class_name: str, idempotency_key: str) -> bool:
-        """Whether another process of this server runs or has run an effect; asked while there is no broker."""
+    def may_have_run(self, class_name: str, idempotency_key: str) -> bool:
+        """Whether another or an earlier process may have run an effect; asked while there is no broker."""
 
     def health_check(self, deep: bool, callback: Callable[[bool], None]) -> None:
         """Answer a health check through ``callback``, now or later; a deep one also checks the backend."""
--- a/lapishaven/frontends/platform.py
+++ b/lapishaven/frontends/platform.py
@@ -196,9 +196,9 @@
             self.open[message.id] = request
 
     def _answer_not_up(self, message: jsonrpc.RunRequest) -> None:
-        """Answer a request that comes before the backend is up; what another process ran is not rejected."""
+        """Answer a request that comes before the backend is up; what may have run is not rejected."""
         key = message.idempotency_key
-        if key is not None and self.host.ran_elsewhere(message.method, key):
+        if key is not None and self.host.may_have_run(message.method, key):
             self.host.counters.add(FAULTED, message.method)
             self.conn.write(jsonrpc.encode_error(message.id, jsonrpc.FAILED_CODE, "not up yet, and it may have run"))
             return
--- a/lapishaven/frontends/uwsgi.py
+++ b/lapishaven/frontends/uwsgi.py
@@ -26,7 +26,7 @@
 from lapishaven.config import UwsgiFrontendConfig
 from lapishaven.connection_end import ConnectionEnd
 from lapishaven.core import Answer, AnswerKind, Submission
-from lapishaven.core.outcome_metrics import THROTTLED
+from lapishaven.core.outcome_metrics import FAULTED, THROTTLED
 from lapishaven.core.requests import Request
 from lapishaven.core.source_fairness import RequestSource
 from lapishaven.frontends import Host, age
@@ -232,12 +232,20 @@
         submitted = submission(request, self.host.classes, self.front, attempt_id, time.time(), self._source)
         self.host.counters.add("uwsgi", "requests")
         if broker is None:
-            self.host.counters.add(THROTTLED, class_name(request, self.front))
-            self._answer(Answer(AnswerKind.REJECTED, reason="not up yet", retry_after=NOT_UP_RETRY_AFTER_S))
+            self._answer_not_up(class_name(request, self.front), submitted.idempotency_key)
             return
         self._open = True
         self._request = broker.submit(self.host.loop.now, submitted, self._answer)
 
+    def _answer_not_up(self, name: str, key: str | None) -> None:
+        """Answer a request that comes before the backend is up; what may have run is not rejected."""
+        if key is not None and self.host.may_have_run(name, key):
+            self.host.counters.add(FAULTED, name)
+            self._answer(Answer(AnswerKind.FAILED, reason="not up yet, and it may have run"))
+            return
+        self.host.counters.add(THROTTLED, name)
+        self._answer(Answer(AnswerKind.REJECTED, reason="not up yet", retry_after=NOT_UP_RETRY_AFTER_S))
+
     # ---- Output
     def _answer(self, answer: Answer) -> None:
         self._open = False
--- a/lapishaven/server/broker_host.py
+++ b/lapishaven/server/broker_host.py
@@ -10,11 +10,11 @@
 from lapishaven.attempt_log import AttemptLog
 from lapishaven.core.broker import Broker
 from lapishaven.core.contracts import Contracts
-from lapishaven.core.execution_guard import EFFECT_RETENTION_S
 from lapishaven.core.peer_effects import PeerEffects
 from lapishaven.core.ports import AttemptRecorder, DecisionListener, DurableResultStore, FleetMember
 from lapishaven.counters import Counters
 from lapishaven.net.loop import Loop
+from lapishaven.server.earlier_runs import EarlierRuns
 from lapishaven.server.running_config import RunningConfig
 
 if TYPE_CHECKING:
@@ -41,6 +41,7 @@
         attempt_log: AttemptLog | None,
         result_store: DurableResultStore | None,
         peers: PeerEffects | None,
+        log: Callable[[str], None],
     ) -> None:
         """``listener`` receives the controller's decisions that are not answers: health, idle timeout and remarks."""
         self.broker: Broker | None = None
@@ -52,7 +53,8 @@
         self._counters = counters
         self._listener = listener
         self._fleet = fleet
-        self._attempt_log = attempt_log
+        self.earlier_runs = EarlierRuns(attempt_log, loop, counters, log, self._earlier_runs_read)
+        self.earlier_runs.read()
 
     def connect(
         self,
@@ -73,8 +75,12 @@
         if self.broker is not None:
             return
         settings = replace(self._running.config.settings, slow_start=cold)
-        self.broker = self._build_broker(settings)
-        self._restore_started_effects(self.broker)
+        self.earlier_runs.read()  # once more, as other processes may have run something since the start
+        broker = self._build_broker(settings)
+        self._remember_uncertain_effects(broker)
+        self.broker = broker
+        if self.earlier_runs.known:
+            self._earlier_runs_read()
         self._started()
         if self._load_endpoint is not None:
             initial_share = settings.slow_start_initial_speed if cold else 1.0
@@ -110,6 +116,7 @@
             pools=self._build_pools(settings),
             result_store=self.result_store,
             peers=self._peers,
+            holds_keyed=not self.earlier_runs.known,
         )
 
     def _build_pools(self, settings: Settings) -> Pools | None:
@@ -120,14 +127,20 @@
         self.pools = Pools(self._running.pools, settings, self._loop.now)
         return self.pools
 
-    def _restore_started_effects(self, broker: Broker) -> None:
-        """Keep the broker from repeating effects that an earlier process started or may have started."""
-        started: list[tuple[str, str, float]] = []
-        if self._attempt_log is not None:
-            started += self._attempt_log.started(EFFECT_RETENTION_S)
-        if self.result_store is not None:
-            started += self.result_store.uncertain_effects()
-        for class_name, key, age in started:
-            class_index = self._running.classes.get(class_name)
-            if class_index is not None:
-                broker.remember_run(self._loop.now, class_index, key, age)
+    def _remember_uncertain_effects(self, broker: Broker) -> None:
+        """Keep the broker from repeating effects that an earlier process may have run, as the result store has them."""
+        for class_name, key, age in self.result_store.uncertain_effects() if self.result_store is not None else ():
+            self._remember(broker, class_name, key, self._loop.now - age)
+
+    def _earlier_runs_read(self) -> None:
+        """Keep the broker, once it exists, from repeating what earlier processes started."""
+        if self.broker is None:
+            return
+        for class_name, key, started_at in self.earlier_runs.effects():
+            self._remember(self.broker, class_name, key, started_at)
+        self.broker.earlier_runs_known(self._loop.now)
+
+    def _remember(self, broker: Broker, class_name: str, key: str, started_at: float) -> None:
+        class_index = self._running.classes.get(class_name)
+        if class_index is not None:
+            broker.remember_run(started_at, class_index, key)
--- a/lapishaven/server/server.py
+++ b/lapishaven/server/server.py
@@ -12,13 +12,14 @@
 from random import Random
 
 from lapishaven.admin import AdminServer
+from lapishaven.admission import Idempotency
 from lapishaven.attempt_log import AttemptLog
 from lapishaven.config import ConfigFiles, NodeConfig, UwsgiFrontendConfig
 from lapishaven.connection_end import ConnectionEnd
 from lapishaven.core.broker import Broker
 from lapishaven.core.execution_guard import max_names
 from lapishaven.core.peer_effects import PeerEffects
-from lapishaven.core.ports import DurableResultStore, EffectLog, FleetMember
+from lapishaven.core.ports import DurableResultStore, EffectLog, EffectState, FleetMember
 from lapishaven.core.source_fairness import RequestSource
 from lapishaven.counters import Counters
 from lapishaven.frontends import Session, platform, uwsgi
@@ -107,6 +108,7 @@
             attempt_log=self.attempt_log,
             result_store=options.result_store,
             peers=self.peers,
+            log=self.log,
         )
         if options.result_store is not None:
             result_store = options.result_store
@@ -229,8 +231,16 @@
         """Whether the shutdown notice has been received."""
         return self.shutdown.requested
 
-    def ran_elsewhere(self, class_name: str, idempotency_key: str) -> bool:
-        """Whether another process of this server runs or has run an effect; asked while there is no broker."""
+    def may_have_run(self, class_name: str, idempotency_key: str) -> bool:
+        """Whether another or an earlier process may have run an effect; asked while there is no broker."""
+        request_class = self.config.settings.classes[self.classes[class_name]]
+        if request_class.idempotency is Idempotency.IDEMPOTENT:
+            return False
+        if self.core.earlier_runs.may_include(class_name, idempotency_key):
+            return True
+        store = self.core.result_store
+        if store is not None and store.find(class_name, idempotency_key).effect_state is not EffectState.UNKNOWN:
+            return True
         if self.peers is None:
             return False
         self.peers.advance(self.loop.now)
@@ -307,6 +317,7 @@
             driver.close()
         if self.load_endpoint is not None:
             self.load_endpoint.close()
+        self.core.earlier_runs.close()
         if self.attempt_log is not None:
             self.attempt_log.close()
         if self.core.result_store is not None:
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Any
 
-from lapishaven.attempt_log import SqliteAttemptLog
+from lapishaven.attempt_log import SqliteAttemptLog, StartedRun
 from lapishaven.core.ports import EffectState
 from lapishaven.idempotency import DurableResults
 from lapishaven.ledger import transitions
@@ -193,8 +193,8 @@
     """Guards the attempt log, which preceded the ledger: its rows, the runs it lists, and its import into a ledger."""
     path = copy_of("attempt_log.db", tmp_path)
     log = SqliteAttemptLog(path, lambda: None, lambda: WRITTEN_AT + 10.0)
-    assert log.started(60.0) == [("commit", "key-1", 9.0), ("review", "key-4", 4.0)]
-    assert log.started(5.0) == [("review", "key-4", 4.0)]
+    assert log.started(60.0, 1.0) == [StartedRun("commit", "key-1", 9.0), StartedRun("review", "key-4", 4.0)]
+    assert log.started(5.0, 1.0) == [StartedRun("review", "key-4", 4.0)]
     log.close()
     record: Rows = [
         (WRITTEN_AT + 1, "started", "r1", "commit", "key-1", "team", "service", "first"),
