Storage: take an intent only if there is room for its result too

Change: each intent reserves room for the longest result of a backend (Store.reserve); put_reserved takes it whatever the limits say by then, and a run without a result gives it back.

--- a/lapishaven/idempotency/result_store.py
+++ b/lapishaven/idempotency/result_store.py
@@ -13,12 +13,15 @@
 from lapishaven.core.requests import Submission
 from lapishaven.idempotency.result_index import Entry, ResultIndex, decode, encode
 from lapishaven.net.completion_queue import CompletionQueue
+from lapishaven.proto.interpreter import MAX_RESULT_BYTES
 from lapishaven.storage import Store, StoreError, StoreFullError
 
 MAX_EFFECTS = 100_000  # default of ``limit``
 STALL_S = 0.5  # age of the oldest unfinished write above which no new run is admitted
 RETRY_AFTER_S = 1.0  # used if it is unknown when there will be capacity
 EXPIRY_INTERVAL_S = 10.0  # time between two removals of expired effects
+# Room that is kept for the result of each run in progress: the longest result of a backend, with its key and head.
+RESULT_RESERVE_BYTES = MAX_RESULT_BYTES + 1024
 
 
 class DurableResults:
@@ -40,6 +43,7 @@
         self.limit = limit
         self._wall = wall
         self.index = ResultIndex(lifetime_s)
+        self._reserved_for: set[bytes] = set()  # store keys of the runs for whose results there is room
         self._completions = CompletionQueue()
         self._write_lock = threading.Lock()  # guards _write_started_at
         self._write_started_at: deque[float] = deque()  # start time of each unfinished write, oldest first
@@ -68,6 +72,7 @@
     ) -> float | None:
         """Write the intent; ``callback`` is called with whether it is durable.
 
+        It is rejected if there is no room for the result as well: a run whose result cannot be kept would be lost.
         Returns ``None``, or the seconds after which to retry if the intent is rejected; ``callback`` is then never
         called.
         """
@@ -78,10 +83,14 @@
             return retry_after
         try:
             value = encode(wall_time, None, submission.body_digest)
+            self.store.reserve(RESULT_RESERVE_BYTES)
+            self._reserved_for.add(store_key)
             future = self.store.put(store_key, value, wall_time + self.index.lifetime_s)
         except StoreFullError as error:
+            self._release_room(store_key)
             return error.retry_after_s or RETRY_AFTER_S
         except (StoreError, ValueError):
+            self._release_room(store_key)
             return RETRY_AFTER_S
         self.index.mark_running(wall_time, store_key, submission.body_digest)
 
@@ -110,7 +119,7 @@
         entry = self.index.find(self._wall(), store_key)
         try:
             value = encode(entry.since, result, entry.body_digest)
-            future = self.store.put(store_key, value, entry.since + self.index.lifetime_s)
+            future = self._put_result(store_key, value, entry.since + self.index.lifetime_s)
         except (StoreError, ValueError):
             self.index.mark_uncertain(store_key)
             self._completions.post(lambda: callback(False))
@@ -128,12 +137,15 @@
     def record_failure(self, class_name: str, key: str) -> None:
         """Note that the effect ran or may have run, and gave no result. Nothing is written, as the stored intent
         already means that."""
-        self.index.mark_uncertain(self.store_key(class_name, key))
+        store_key = self.store_key(class_name, key)
+        self._release_room(store_key)
+        self.index.mark_uncertain(store_key)
 
     def cancel_intent(self, class_name: str, key: str) -> None:
         """Remove an effect that provably never ran, which frees its key."""
         store_key = self.store_key(class_name, key)
         self.index.remove(store_key)
+        self._release_room(store_key)
         with suppress(StoreError):  # the intent then stays, and a later process takes the effect as uncertain
             self.store.delete(store_key)
 
@@ -170,6 +182,20 @@
         self.store.close()
         self._completions.close()
 
+    # ---- Room for results
+    def _put_result(self, store_key: bytes, value: bytes, expiry: float) -> Future[int]:
+        """Put a result, in the room that was reserved with its intent if it was."""
+        if store_key not in self._reserved_for:
+            return self.store.put(store_key, value, expiry)
+        self._reserved_for.discard(store_key)
+        return self.store.put_reserved(store_key, value, expiry, RESULT_RESERVE_BYTES)
+
+    def _release_room(self, store_key: bytes) -> None:
+        """Give back the room for a result that will not come."""
+        if store_key in self._reserved_for:
+            self._reserved_for.discard(store_key)
+            self.store.release(RESULT_RESERVE_BYTES)
+
     # ---- Callbacks from the store's thread
     def _notify_when_durable(self, future: Future[int], callback: Callable[[bool], None]) -> None:
         """Call ``callback`` on the event loop once the write has ended, with whether it is durable."""
--- a/lapishaven/storage/store.py
+++ b/lapishaven/storage/store.py
@@ -71,6 +71,7 @@
         self._clock = MonotonicWallClock(clock)
         self._pending = PendingWrites(self.lock)
         self._closed = False
+        self._reserved = 0  # bytes of records that will be put; see ``reserve``
         self._reader = RecordReader(files, self.segments, self.damage)
         files.lock()
         try:
@@ -160,6 +161,26 @@
         """
         return self.batch([(key, value, expiry)])
 
+    def put_reserved(self, key: bytes, value: bytes, expiry: float, reserved: int) -> Future[int]:
+        """Set a key in room that was reserved; ``reserved`` is given back. No size limit rejects it.
+
+        Raises ``ValueError`` and ``StoreError`` like ``batch``; the room is given back then too.
+        """
+        with self.lock:
+            self.release(reserved)
+            return self._add([(key, value, expiry)], is_limited=False)
+
+    def reserve(self, size: int) -> None:
+        """Reserve ``size`` bytes for a later record. Raises ``StoreFullError`` if a size limit would be exceeded."""
+        with self.lock:
+            self._check_capacity(size)
+            self._reserved += size
+
+    def release(self, size: int) -> None:
+        """Give back reserved room that is not needed."""
+        with self.lock:
+            self._reserved -= size
+
     def delete(self, key: bytes) -> Future[int]:
         """Remove a key if it exists. Raises the same errors as ``batch``."""
         return self.batch([(key, None, 0.0)])
@@ -171,12 +192,16 @@
         if a size limit is reached, and ``StoreError`` after ``close``. If the write fails later, the future raises
         ``StoreError``.
         """
+        return self._add(changes, is_limited=True)
+
+    def _add(self, changes: Sequence[Change], is_limited: bool) -> Future[int]:
+        """Queue a batch; ``is_limited`` if it may be rejected for its size."""
         _check_changes(changes)
         with self.lock:
             if self._closed:
                 raise StoreError(f"batch of {len(changes)} changes rejected: the store is closed")
             size = sum(fmt.RECORD_HEADER.size + len(key) + len(value or b"") for key, value, _ in changes)
-            if any(value is not None for _, value, _ in changes):
+            if is_limited and any(value is not None for _, value, _ in changes):
                 self._check_capacity(size)
             records = [self._pending.next_record(*change) for change in changes]
             return self._pending.add_changes(records, size)
@@ -192,10 +217,11 @@
                 PENDING_RETRY_S,
             )
         total = self.limits.total_bytes
-        if total and self.disk_bytes + pending + size > total:
+        if total and self.disk_bytes + pending + self._reserved + size > total:
             self.stats.rejected += 1
             raise StoreFullError(
-                f"batch of {size} bytes rejected: {self.disk_bytes} bytes are stored and {pending} wait, limit {total}",
+                f"batch of {size} bytes rejected: {self.disk_bytes} bytes are stored, {pending} wait and"
+                f" {self._reserved} are reserved, limit {total}",
                 self.seconds_to_expiry(),
             )
 
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -9,6 +9,7 @@
 import socket
 import subprocess
 import sys
+from http import HTTPStatus
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -59,12 +60,14 @@
             decode(invalid)
 
 
-class DurableResultsWorld(World):
+class StoreWorld(World):
     """The real server with a store on an in-memory disk; it commits only when a test calls ``make_durable``."""
 
     backend = config.UwsgiBackendConfig(("127.0.0.1", 3), "/run/")
     contracts = None
 
+    limits = Limits(segment_bytes=100_000)
+
     def setUp(self) -> None:
         super().setUp()
         self.disk, self.uwsgi_server_up = Disk(), True
@@ -73,7 +76,7 @@
     def restart(self) -> None:
         """Start the server's result store from the content of the disk, as a new process would."""
         self.disk.locked = False
-        self.embedded_store = Store(self.disk.mount(), Limits(segment_bytes=100_000), lambda: 1000.0, thread=False)
+        self.embedded_store = Store(self.disk.mount(), self.limits, lambda: 1000.0, thread=False)
         self.durable_results = DurableResults(self.embedded_store, 900.0, wall=lambda: 1000.0)
         self.server.core.result_store = self.durable_results
         self.server.core.broker = None
@@ -90,6 +93,8 @@
         """Check how many attempts were sent to the backend."""
         self.assertEqual(len(self.up), count)
 
+
+class DurableResultsWorld(StoreWorld):
     # Guards against a run that starts before its intent is durable, and a reply sent before its result is durable.
     def test_the_order_of_intent_run_result_and_reply(self) -> None:
         self.play("send u1 approve-commit id=k\n wait 0.05")
@@ -214,6 +219,45 @@
         self.assert_runs(2)
 
 
+class FullStoreWorld(StoreWorld):
+    """A store of 1 MB, which 400 results of 4,000 bytes fill."""
+
+    backend = config.UwsgiBackendConfig(("127.0.0.1", 3), "/run/")
+    limits = Limits(segment_bytes=100_000, total_bytes=1 << 20)
+
+    def run_five(self, first: int) -> None:
+        """Send as many commits at once as there are cores for, and end those that run, each with its own result."""
+        self.up.clear()
+        for number in range(first, first + 5):
+            self.play(f"send u{number} approve-commit id=k{number}")
+        self.play("wait 0.01")
+        self.make_durable()
+        for connection in self.up:
+            connection.pump()
+            label = bytes(connection.data).rsplit(b"u", 1)[1].decode()
+            body = f"result of u{label} ".encode().ljust(4000, b".")
+            connection.sock.sendall(uwsgi.encode_response(HTTPStatus.OK, body, "text/plain"))
+            self.ran.add(int(label))
+        self.play("wait 0.01")
+        self.make_durable()
+
+    # Guards against a run whose result is lost, as the room that its intent found was taken by others until it ended.
+    def test_each_commit_that_runs_has_its_result_kept_however_full_the_store_is(self) -> None:
+        self.ran: set[int] = set()
+        for first in range(0, 400, 5):
+            self.run_five(first)
+        statuses = {number: bytes(self.peers[f"u{number}"].data)[9:12] for number in range(400)}
+        self.assertGreater(len(self.ran), 100)
+        self.assertEqual({statuses[number] for number in self.ran}, {b"200"})
+        self.assertEqual({statuses[number] for number in set(range(400)) - self.ran}, {b"503"})
+        for number in self.ran:
+            self.play(f"send u{number + 1000} approve-commit id=k{number} retry=1 body=u{number}")
+            self.pump()
+            answers = [bytes(self.peers[name].data) for name in (f"u{number}", f"u{number + 1000}")]
+            self.assertEqual(answers[0], answers[1])
+        self.assertEqual(self.embedded_store._reserved, 0)
+
+
 def send_commit(address: tuple[str, int], key: str, body: bytes) -> int | None:
     """Send a commit over uwsgi; returns its status, or ``None`` if the connection ended first."""
     try:
@@ -226,7 +270,7 @@
                 if response is not None:
                     return response.status
     except (OSError, ValueError):
-        pass
+        self.assertEqual(self.embedded_store._reserved, 0)
     return None
 
 
