Pools: take no run back where a backend cannot resume it

Change: a backend says whether it can pause. Where one cannot, the core's setting for cancelled runs is abort, at the start and at each reload.

Test: test_a_starved_pool_takes_no_run_back; with the setting as it was, a run is taken back and the test fails.

--- a/lapishaven/backends/interpreter.py
+++ b/lapishaven/backends/interpreter.py
@@ -35,6 +35,8 @@
 class InterpreterBackend:
     """A backend that speaks the interpreter's line protocol."""
 
+    can_pause = True
+
     def __init__(
         self,
         loop: Loop,
--- a/lapishaven/backends/load_balanced.py
+++ b/lapishaven/backends/load_balanced.py
@@ -37,6 +37,8 @@
         dial: opens connections.
     """
 
+    can_pause = False
+
     def __init__(
         self,
         loop: Loop,
--- a/lapishaven/backends/uwsgi.py
+++ b/lapishaven/backends/uwsgi.py
@@ -23,6 +23,8 @@
 class UwsgiBackend:
     """A backend that speaks the uwsgi protocol. It cannot pause a run: pausing closes its connection."""
 
+    can_pause = False
+
     def __init__(
         self,
         loop: Loop,
--- a/lapishaven/core/ports.py
+++ b/lapishaven/core/ports.py
@@ -26,6 +26,10 @@
 class Backend(Protocol):
     """Runs attempts and reports their end through ``Broker.run_finished``. No method blocks or raises."""
 
+    @property
+    def can_pause(self) -> bool:
+        """Whether a paused run can be resumed. If not, pausing ends it."""
+
     def start(self, attempt_id: str, class_name: str, body: bytes, at_most_once: bool, time_limit_s: float) -> None:
         """Start an attempt; with ``at_most_once`` it must not be sent again once it may have been received.
 
--- a/lapishaven/lab/emulator.py
+++ b/lapishaven/lab/emulator.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field, replace
 from random import Random
 from time import perf_counter
-from typing import Any
+from typing import Any, ClassVar
 
 from lapishaven.admission import Outcome
 from lapishaven.client.model import Attempt, Connection
@@ -104,6 +104,8 @@
     ``late_answers``: answers sent after their deadline.
     """
 
+    can_pause: ClassVar[bool] = True
+
     emulator: Emulator
     name: str
     box: Box
--- a/lapishaven/server/broker_host.py
+++ b/lapishaven/server/broker_host.py
@@ -74,7 +74,7 @@
         """Build the broker, once; the backend has been up for ``up_for`` seconds and is slow at first if ``cold``."""
         if self.broker is not None:
             return
-        settings = replace(self._running.config.settings, slow_start=cold)
+        settings = replace(self.core_settings(self._running.config.settings), slow_start=cold)
         self.earlier_runs.read()  # once more, as other processes may have run something since the start
         broker = self._build_broker(settings)
         self._remember_uncertain_effects(broker)
@@ -100,6 +100,13 @@
             self.broker.load_sampled(gauges)
 
     # ---- Building
+    def core_settings(self, settings: Settings) -> Settings:
+        """The settings as the core gets them: where a backend cannot resume runs, cancelling one ends it."""
+        can_pause = all(driver.can_pause for driver in self._backends.by_name.values())
+        if can_pause or settings.cancellation is None:
+            return settings
+        return replace(settings, cancellation="abort")
+
     def _build_broker(self, settings: Settings) -> Broker:
         config = self._running.config
         contracts = self._running.contracts
--- a/lapishaven/server/config_reload.py
+++ b/lapishaven/server/config_reload.py
@@ -126,7 +126,7 @@
         running, broker = self._running, self._core.broker
         if broker is None:
             return
-        settings = running.config.settings
+        settings = self._core.core_settings(running.config.settings)
         if self._core.pools is not None and running.pools is not None:
             self._core.pools.apply_settings(self._loop.now, running.pools, settings)
         if has_new_settings:
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -148,3 +148,17 @@
         self.assertEqual(list(self.server.classes), ["fuzzy-match", "approve-commit"])
         self.assertEqual(self.server.running.config.settings.classes[0].deadline, MATCH["deadline"])
         self.serve_all(1, "fuzzy-match", "approve-commit")
+
+
+class PoolsOverABackendThatCannotPause(ReloadWorld):
+    pool_of = {"fuzzy-match": "reads", "spell-check": "reads", "approve-commit": "writes"}
+
+    # Guards against runs that are taken back and never resumed: their connection is closed, and their places are kept.
+    def test_a_starved_pool_takes_no_run_back(self) -> None:
+        self.reload({**CHECK, "aim": 30.0, "deadline": 60.0}, MATCH, COMMIT)
+        for number in range(1, 7):
+            self.play(f"send c{number} 1 spell-check")
+        self.assertEqual(len(self.up), 6)
+        self.play("send u1 approve-commit id=k\n" + "wait 0.1\n" * 8)
+        self.assertEqual(self.server.core.pools.state()["reads taken back"], 0)  # type: ignore[union-attr]
+        self.assertEqual(self.server.counters.get("ends", "uwsgi backend abandoned"), 0)
