--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -169,7 +169,9 @@
     # Guards against an exception in the controller that ends the process: the request still fails at its deadline.
     def test_exception_in_a_turn_leaves_the_deadline_in_force(self) -> None:
         self.pump()
-        with mock.patch.object(self.server.broker.controller, "handle", side_effect=ValueError("injected")):
+        controller = self.server.broker.controller
+        fault = mock.Mock(side_effect=ValueError("injected"))
+        with mock.patch.object(controller, "steps", tuple(fault for _ in controller.steps)):
             with mock.patch("traceback.print_exc") as print_exc:
                 self.play("send c1 1 approve-commit\nwait 3.9\nexpect c1 failed 1")
             self.assertTrue(print_exc.called)
