--- a/lapishaven/core/broker.py
+++ b/lapishaven/core/broker.py
@@ -74,7 +74,7 @@
         pools: AdmissionPools | None = None,
         result_store: ResultStore | None = None,
         peers: PeerEffects | None = None,
-        holds_keyed: bool = False,
+        defers_keyed: bool = False,
     ) -> None:
         """Build the core.
 
@@ -90,7 +90,7 @@
             memory: the process's memory in bytes; fixed fractions of it limit the execution guard and stored results.
             pools: capacity by class; ``None``: all classes share it.
             result_store: keeps results across restarts; ``None``: they are not kept.
-            holds_keyed: whether requests with a key are held until ``earlier_runs_known`` is called.
+            defers_keyed: whether requests with a key are deferred until ``earlier_runs_known`` is called.
             peers: what other processes of this server run; ``None``: there are no others.
         """
         self.counters = counters
@@ -129,7 +129,7 @@
             backend,
             routes or {},
             memory // OPEN_REQUESTS_DIVISOR,
-            holds_keyed,
+            defers_keyed,
         )
 
     @property
@@ -187,8 +187,8 @@
         self.guard.remember(started_at, class_index, key)
 
     def earlier_runs_known(self, now: float) -> None:
-        """Go on with the requests that were held: all runs of earlier processes have been recorded."""
-        self._intake.release_held(now)
+        """Go on with the requests that were deferred: all runs of earlier processes have been recorded."""
+        self._intake.release_deferred(now)
 
     def replace_contracts(self, contracts: Contracts | None) -> None:
         """Apply reloaded contracts; a party that is still listed keeps its budget."""
--- a/lapishaven/core/requests.py
+++ b/lapishaven/core/requests.py
@@ -78,12 +78,12 @@
     RECORDING_INTENT = "recording intent"  # will start once the intent to run it is durable
     RUNNING = "running"  # passed to the backend
     RECORDING_RESULT = "recording result"  # its run completed; it is answered once the result is durable
-    HELD = "held"  # may have run in an earlier process, whose runs are not known yet
+    DEFERRED = "deferred"  # may have run in an earlier process, whose runs are not known yet
     PAUSED = "paused"  # stopped by the backend, which can resume it
     CLOSED = "closed"  # removed from the table
 
 
-STATES_WITHOUT_RUN = frozenset({RequestState.QUEUED, RequestState.HELD, RequestState.ATTACHED, RequestState.PAUSED})
+STATES_WITHOUT_RUN = frozenset({RequestState.QUEUED, RequestState.DEFERRED, RequestState.ATTACHED, RequestState.PAUSED})
 """States in which no run or write has to end before an answered or cancelled request can be closed."""
 
 
--- a/lapishaven/core/submission_intake.py
+++ b/lapishaven/core/submission_intake.py
@@ -32,10 +32,10 @@
 
 
 MAY_HAVE_RUN_BEFORE = Answer(AnswerKind.FAILED, reason="what ran before is not known yet, and it may have run")
-"""The answer to a submission that cannot be held until the runs of earlier processes are known."""
+"""The answer to a submission that cannot be deferred until the runs of earlier processes are known."""
 
 
-class HeldRequest(NamedTuple):
+class DeferredRequest(NamedTuple):
     """A request that waits until the runs of earlier processes are known, and the contract that covers it."""
 
     request: Request
@@ -63,11 +63,11 @@
         default_backend: Backend,
         routes: Mapping[str, Backend],
         memory_limit: int,
-        holds_keyed: bool,
+        defers_keyed: bool,
     ) -> None:
         """Open requests may take ``memory_limit`` bytes of this process, whatever memory callers book for them.
 
-        ``holds_keyed``: whether submissions with a key are held until ``release_held``, as they may have run before.
+        ``defers_keyed``: whether submissions with a key, which may have run before, wait for ``release_deferred``.
 
         ``contracts`` is ``None`` if no contracts are checked, ``durable`` if no result store is configured.
 
@@ -87,7 +87,7 @@
         self._default_backend = default_backend
         self._routes = routes
         self._memory_limit = memory_limit
-        self._held: list[HeldRequest] | None = [] if holds_keyed else None  # None: none is held any more
+        self._deferred: list[DeferredRequest] | None = [] if defers_keyed else None  # None: none is deferred any more
 
     def replace_contracts(self, contracts: Contracts | None) -> None:
         """Apply reloaded contracts, keeping the budgets of those that remain, if contracts were checked before."""
@@ -105,11 +105,11 @@
             return None
         repeat = self._repeats.resolve(now, submission)
         key = self._repeats.key_of(submission)
-        is_held = self._held is not None and key is not None and repeat is None
+        is_deferred = self._deferred is not None and key is not None and repeat is None
         if repeat is not None:
             answer = self._answer_repeat(repeat)
         else:
-            answer = self._refuse_held(submission) if is_held else self._refuse(now, submission, contract)
+            answer = self._refuse_to_defer(submission) if is_deferred else self._refuse(now, submission, contract)
         if answer is not None:
             self._lifecycle.send(submission, reply, answer)
             return None
@@ -121,24 +121,24 @@
             request.awaited_effect = repeat
         elif key is not None:
             self._keys.open(key, request.request_id, submission.body_digest)
-        if is_held and self._held is not None:
-            request.state = RequestState.HELD
-            self._held.append(HeldRequest(request, contract))
+        if is_deferred and self._deferred is not None:
+            request.state = RequestState.DEFERRED
+            self._deferred.append(DeferredRequest(request, contract))
         else:
             self._queue_arrival(now, request, self._has_own_deadline(submission, contract))
         return request
 
     # ---- Submissions that may have run in an earlier process
-    def _refuse_held(self, submission: Submission) -> Answer | None:
-        """The answer to a submission that cannot be held, ``None`` if it can; it may have run, so it is failed."""
+    def _refuse_to_defer(self, submission: Submission) -> Answer | None:
+        """The answer to a submission that cannot be deferred, ``None`` if it can; it may have run, so it is failed."""
         has_room = self._table.held_bytes + memory_of(submission) <= self._memory_limit
         return None if has_room and not self._drain_state.closed else MAY_HAVE_RUN_BEFORE
 
-    def release_held(self, now: float) -> None:
-        """Check the held requests: all effects that earlier processes may have run have been remembered."""
-        held, self._held = self._held or [], None
-        for request, contract in held:
-            if request.state is RequestState.HELD:
+    def release_deferred(self, now: float) -> None:
+        """Check the deferred requests: all effects that earlier processes may have run have been remembered."""
+        deferred, self._deferred = self._deferred or [], None
+        for request, contract in deferred:
+            if request.state is RequestState.DEFERRED:
                 self._release(now, request, contract)
 
     def _release(self, now: float, request: Request, contract: Contract | None) -> None:
--- a/lapishaven/idempotency/result_store.py
+++ b/lapishaven/idempotency/result_store.py
@@ -87,10 +87,10 @@
             self._reserved_for.add(store_key)
             future = self.store.put(store_key, value, wall_time + self.index.lifetime_s)
         except StoreFullError as error:
-            self._release_room(store_key)
+            self._release_reservation(store_key)
             return error.retry_after_s or RETRY_AFTER_S
         except (StoreError, ValueError):
-            self._release_room(store_key)
+            self._release_reservation(store_key)
             return RETRY_AFTER_S
         self.index.mark_running(wall_time, store_key, submission.body_digest)
 
@@ -138,14 +138,14 @@
         """Note that the effect ran or may have run, and gave no result. Nothing is written, as the stored intent
         already means that."""
         store_key = self.store_key(class_name, key)
-        self._release_room(store_key)
+        self._release_reservation(store_key)
         self.index.mark_uncertain(store_key)
 
     def cancel_intent(self, class_name: str, key: str) -> None:
         """Remove an effect that provably never ran, which frees its key."""
         store_key = self.store_key(class_name, key)
         self.index.remove(store_key)
-        self._release_room(store_key)
+        self._release_reservation(store_key)
         with suppress(StoreError):  # the intent then stays, and a later process takes the effect as uncertain
             self.store.delete(store_key)
 
@@ -182,7 +182,7 @@
         self.store.close()
         self._completions.close()
 
-    # ---- Room for results
+    # ---- Reservations for results
     def _put_result(self, store_key: bytes, value: bytes, expiry: float) -> Future[int]:
         """Put a result, in the room that was reserved with its intent if it was."""
         if store_key not in self._reserved_for:
@@ -190,7 +190,7 @@
         self._reserved_for.discard(store_key)
         return self.store.put_reserved(store_key, value, expiry, RESULT_RESERVE_BYTES)
 
-    def _release_room(self, store_key: bytes) -> None:
+    def _release_reservation(self, store_key: bytes) -> None:
         """Give back the room for a result that will not come."""
         if store_key in self._reserved_for:
             self._reserved_for.discard(store_key)
--- a/lapishaven/pools/pools.py
+++ b/lapishaven/pools/pools.py
@@ -32,6 +32,24 @@
     return [INITIAL_OBJECTIVE_SHARE * request_class.latency_objective for request_class in settings.classes]
 
 
+def _assign_classes(rules: PoolSettings, settings: Settings, kept_pools: list[str]) -> list[int]:
+    """The index of the pool of each class.
+
+    A class that is no longer offered is in no rule. Its open requests keep their pool, whose name is in ``kept_pools``
+    by class index, or come into the first one if that is gone.
+    """
+    pool_names = [rule.name for rule in rules.pools]
+    assigned = {name: index for index, rule in enumerate(rules.pools) for name in rule.classes}
+    indexes: list[int] = []
+    for class_index, request_class in enumerate(settings.classes):
+        index = assigned.get(request_class.name)
+        if index is None:
+            kept_name = kept_pools[class_index]
+            index = pool_names.index(kept_name) if kept_name in pool_names else 0
+        indexes.append(index)
+    return indexes
+
+
 class Pools:
     """Implements ``AdmissionPools``: divides the work among pools by their shares, and rejects with a Retry-After.
 
@@ -61,7 +79,8 @@
 
     def _build_pools(self, rules: PoolSettings) -> None:
         self.rules = rules
-        self._pool_of_class = self._assign_classes(rules)
+        kept_pools = [self.pools[index].name for index in self._pool_of_class]
+        self._pool_of_class = _assign_classes(rules, self.settings, kept_pools)
         self.pools = [Pool(rule.name, rule.share, rule.ceiling) for rule in rules.pools]
         self.ready = ReadyQueue([rule.share for rule in rules.pools])
         self._reserve_pool: int | None = None  # index of the pool with the reserve
@@ -70,23 +89,6 @@
             pool = self.pools[self._reserve_pool]
             pool.ceiling = min(pool.ceiling, rules.reserve.ceiling)
 
-    def _assign_classes(self, rules: PoolSettings) -> list[int]:
-        """The index of the pool of each class.
-
-        A class that is no longer offered is in no rule. Its open requests keep their pool, by its name, or come into
-        the first one if that is gone.
-        """
-        pool_names = [rule.name for rule in rules.pools]
-        assigned = {name: index for index, rule in enumerate(rules.pools) for name in rule.classes}
-        indexes: list[int] = []
-        for class_index, request_class in enumerate(self.settings.classes):
-            index = assigned.get(request_class.name)
-            if index is None:
-                kept_name = self.pools[self._pool_of_class[class_index]].name
-                index = pool_names.index(kept_name) if kept_name in pool_names else 0
-            indexes.append(index)
-        return indexes
-
     def apply_settings(self, now: float, rules: PoolSettings, settings: Settings) -> None:
         """Apply reloaded rules and the reloaded settings, in which classes keep their index and added ones come last.
 
--- a/lapishaven/server/broker_host.py
+++ b/lapishaven/server/broker_host.py
@@ -123,7 +123,7 @@
             pools=self._build_pools(settings),
             result_store=self.result_store,
             peers=self._peers,
-            holds_keyed=not self.earlier_runs.known,
+            defers_keyed=not self.earlier_runs.known,
         )
 
     def _build_pools(self, settings: Settings) -> Pools | None:
