--- a/lapishaven/admission/controller.py
+++ b/lapishaven/admission/controller.py
@@ -86,7 +86,8 @@
 
     def handle_event(self, now: float, event: Event, actions: list[Action]) -> None:
         """Process one event of a batch. After the last one of it, the ``steps`` are due, in their order."""
-        self._start(now, actions)
+        if not self._has_started:
+            self._start(now, actions)
         self._handle_event(event, now, actions)
 
     def discard(self, request_id: int) -> None:
--- a/lapishaven/core/batch_processor.py
+++ b/lapishaven/core/batch_processor.py
@@ -8,8 +8,6 @@
 
 import sys
 import traceback
-from collections.abc import Callable
-from typing import Any
 
 from lapishaven.admission import Action, Controller, Event, Outcome, RequestArrived, RunFinished, StartRun
 from lapishaven.core.action_executor import ActionExecutor
@@ -49,26 +47,40 @@
         """Pass a batch to the controller and carry out its actions."""
         self._counters.add("module", "batches")
         actions: list[Action] = []
+        self._handle_events(now, batch, actions)
+        self._take_steps(now, actions)
+        self._carry_out(now, actions)
+
+    # ---- The parts of a batch; each goes on after a fault
+    def _handle_events(self, now: float, batch: list[Event], actions: list[Action]) -> None:
         for event in batch:
-            if not self._is_done(self._controller.handle_event, now, event, actions):
+            try:
+                self._controller.handle_event(now, event, actions)
+            except Exception:
+                self._record_fault()
                 self._drop_event(event)
+
+    def _take_steps(self, now: float, actions: list[Action]) -> None:
         for step in self._controller.steps:
-            self._is_done(step, now, actions)
+            try:
+                step(now, actions)
+            except Exception:
+                self._record_fault()
+
+    def _carry_out(self, now: float, actions: list[Action]) -> None:
         for action in actions:
-            if not self._is_done(self._executor.carry_out, now, action):
+            try:
+                self._executor.carry_out(now, action)
+            except Exception:
+                self._record_fault()
                 self._drop_action(action)
 
-    def _is_done(self, step: Callable[..., None], *arguments: Any) -> bool:
-        """Execute a step; returns whether it raised nothing."""
-        try:
-            step(*arguments)
-        except Exception:
-            self.faults += 1
-            self._counters.add("module", FAULT_COUNTER)
-            if self.faults <= MAX_TRACEBACKS:
-                traceback.print_exc(file=sys.stderr)
-            return False
-        return True
+    def _record_fault(self) -> None:
+        """Count the exception that is being handled, and print its traceback unless there were many."""
+        self.faults += 1
+        self._counters.add("module", FAULT_COUNTER)
+        if self.faults <= MAX_TRACEBACKS:
+            traceback.print_exc(file=sys.stderr)
 
     def _drop_event(self, event: Event) -> None:
         """Give up what an event that the controller could not process is about."""
@@ -77,7 +89,10 @@
             if request is not None:
                 self._lifecycle.give_up(request, NEVER_RAN)
         elif isinstance(event, RunFinished):
-            self._is_done(self._controller.discard, event.request_id)
+            try:
+                self._controller.discard(event.request_id)
+            except Exception:
+                self._record_fault()
 
     def _drop_action(self, action: Action) -> None:
         """Give up the request of an action that could not be carried out; it may have run."""
--- a/lapishaven/core/repeats.py
+++ b/lapishaven/core/repeats.py
@@ -43,9 +43,12 @@
         attempt_id = submission.attempt_id
         if attempt_id in self._table.by_attempt or self._guard.is_known_attempt(submission, self._settings.current):
             return KNOWN_ATTEMPT
-        if not self._settings.is_deduplicated(submission):
+        key = self.key_of(submission)
+        if key is None:
             return None
-        original = self._find_original(now, submission)
+        original: Original | None = self._keys.find(key, now)
+        if original is None:
+            original = self._guard.find_peer_effect(submission, self._settings.current)
         if original is not None and self._lifecycle.is_of_another_request(submission, original.body_digest):
             return KEY_OF_ANOTHER_REQUEST
         stored_answer = self._durable.find_answer(submission) if self._durable is not None else None
@@ -67,8 +70,3 @@
         if self._guard.is_known_effect(now, submission):
             return True
         return self._durable is not None and self._durable.is_known_effect(submission)
-
-    def _find_original(self, now: float, submission: Submission) -> Original | None:
-        key = self.key_of(submission)
-        original = self._keys.find(key, now) if key is not None else None
-        return original or self._guard.find_peer_effect(submission, self._settings.current)
