Core: a fault never refuses a repeat, and gives back a place in a pool too

Cause: a repeat whose arrival the controller could not process was refused like any request, though its original may run; and Controller.discard forgot a request whose end raised in its table alone, so that with pools its place was never given back.

Change: such a repeat is failed; discard ends the run in the pools and its probe.

Tests: test_a_repeat_whose_arrival_raises_is_failed_and_not_refused and test_an_end_that_raises_gives_its_place_back (with pools); both fail on the code before.

--- a/lapishaven/admission/controller.py
+++ b/lapishaven/admission/controller.py
@@ -90,11 +90,16 @@
             self._start(now, actions)
         self._handle_event(event, now, actions)
 
-    def discard(self, request_id: int) -> None:
+    def discard(self, now: float, request_id: int) -> None:
         """Forget a request of which an event could not be processed, so that it takes no place of a run."""
-        request = self.rules.table.requests.get(request_id)
+        rules = self.rules
+        if rules.pools is not None:
+            rules.pools.dequeue(request_id)
+            rules.pools.run_ended(now, request_id, succeeded=False, is_probe=False)
+        request = rules.table.requests.get(request_id)
         if request is not None:
-            self.rules.table.remove(request)
+            rules.table.remove(request)
+            rules.probes.end(request, now)
 
     def _start(self, now: float, actions: list[Action]) -> None:
         """Begin, with the first batch; called in each."""
--- a/lapishaven/core/batch_processor.py
+++ b/lapishaven/core/batch_processor.py
@@ -21,7 +21,7 @@
 NEVER_RAN = Answer(AnswerKind.REJECTED, reason="a fault of the server", retry_after=NEVER_RAN_RETRY_AFTER_S)
 """The answer to a request whose arrival the controller could not process."""
 MAY_HAVE_RUN = Answer(AnswerKind.FAILED, reason="a fault of the server")
-"""The answer to a request for which an action could not be carried out."""
+"""The answer to a request for which an action could not be carried out, and to a repeat of another one."""
 
 
 class BatchProcessor:
@@ -58,7 +58,7 @@
                 self._controller.handle_event(now, event, actions)
             except Exception:
                 self._record_fault()
-                self._drop_event(event)
+                self._drop_event(now, event)
 
     def _take_steps(self, now: float, actions: list[Action]) -> None:
         for step in self._controller.steps:
@@ -82,15 +82,15 @@
         if self.faults <= MAX_TRACEBACKS:
             traceback.print_exc(file=sys.stderr)
 
-    def _drop_event(self, event: Event) -> None:
-        """Give up what an event that the controller could not process is about."""
+    def _drop_event(self, now: float, event: Event) -> None:
+        """Give up what an event that the controller could not process is about. A repeat's original may have run."""
         if isinstance(event, RequestArrived):
             request = self._table.requests.get(event.request_id)
             if request is not None:
-                self._lifecycle.give_up(request, NEVER_RAN)
+                self._lifecycle.give_up(request, NEVER_RAN if request.duplicate_of is None else MAY_HAVE_RUN)
         elif isinstance(event, RunFinished):
             try:
-                self._controller.discard(event.request_id)
+                self._controller.discard(now, event.request_id)
             except Exception:
                 self._record_fault()
 
--- a/tests/test_batch_processor.py
+++ b/tests/test_batch_processor.py
@@ -10,10 +10,13 @@
 
 from scenario import World
 
-from lapishaven.admission import RequestArrived, StartRun
+from lapishaven.admission import RequestArrived, RunFinished, StartRun
 from lapishaven.admission.controller import Controller
 from lapishaven.core.action_executor import ActionExecutor
 from lapishaven.core.batch_processor import MAX_TRACEBACKS
+from lapishaven.pools.settings import parse
+
+CLASS_NAMES = ["fuzzy-match", "approve-commit"]
 
 
 class FaultsInABatch(World):
@@ -99,3 +102,24 @@
             expect c3 failed 1                       # it may have run, so it does not run again
         """)
         self.assert_faults(1)
+
+    # Guards against a refusal of a repeat whose original runs: its caller would send it to another server.
+    def test_a_repeat_whose_arrival_raises_is_failed_and_not_refused(self) -> None:
+        self.play("send c1 1 approve-commit key=k\nexpect vm APPLY c1.1")
+        self.plant(Controller, "_handle_event", lambda event, *rest: isinstance(event, RequestArrived))
+        self.play("send c2 1 approve-commit key=k body=c1.1\nexpect c2 failed 1\nsend vm OK c1.1\nexpect c1 result 1")
+
+
+class FaultsAtTheEndOfRuns(FaultsInABatch):
+    pools = parse(
+        {"pool": [{"name": "all", "classes": ["fuzzy-match", "approve-commit"], "share": 1.0}]}, CLASS_NAMES, 6
+    )
+
+    # Guards against places that are never given back, in the table or in a pool: there are six of them.
+    def test_an_end_that_raises_gives_its_place_back(self) -> None:
+        self.plant(Controller, "_handle_event", lambda event, *rest: isinstance(event, RunFinished))
+        for number in range(1, 20):
+            self.play(f"send c1 {number} fuzzy-match\nexpect vm APPLY c1.{number}\nwait 0.1\nsend vm OK c1.{number}")
+            self.play(f"expect c1 result {number}")
+        self.assertEqual(self.server.core.pools.state()["running"], 0)  # type: ignore[union-attr]
+        self.assert_faults(19)
